--- /dev/null
+++ b/acaciaagent/handler.go
@@ -0,0 +1,132 @@
+package acaciaagent
+
+import (
+	"context"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+
+	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	"github.com/acaciaroute/acaciaroute/acaciawire"
+)
+
+// handler serves entries.
+type handler struct {
+	agent *Agent
+}
+
+// Run implements acaciawire.AgentServiceHandler.
+func (h *handler) Run(ctx context.Context, request *acaciawire.RunRequest, stream *connect.ServerStream[acaciawire.Chunk]) error {
+	a := h.agent
+	a.process.Recorder.Clock().Observe(acaciaevent.Stamp(request.Clock))
+	runCtx, cancelCause := context.WithCancelCause(a.runs)
+	cancel := func() { cancelCause(nil) }
+	if request.KeyHash != "" && a.uptime() < minKeyedUptime {
+		cancel()
+		return stream.Send(refusal(request, "the agent has not run long enough for requests with idempotency keys"))
+	}
+	run, ok := a.book.Begin(request.RequestId, request.KeyHash, request.Entry, request.Grant, cancel)
+	if !ok {
+		cancel()
+		chunk := refusal(request, "the request was refused for good, or its key is held by another")
+		chunk.HolderRequestId, chunk.HolderEntry = a.book.Holder(request.KeyHash)
+		return stream.Send(chunk)
+	}
+	e := &execution{
+		agent:  a,
+		run:    run,
+		cancel: cancelCause,
+		fate:   &atomic.Int32{},
+		call: acaciaroute.Call{
+			RequestID: request.RequestId,
+			Method:    request.Method,
+			Path:      request.Path,
+			Header:    acaciawire.ToHeader(request.Header),
+			Body:      request.Body,
+		},
+	}
+	if !e.begin() {
+		cancel()
+		a.book.Forget(run)
+		return stream.Send(refusal(request, "the grant is no longer held"))
+	}
+	e.report(false)
+	go func() {
+		defer cancel()
+		e.execute(runCtx)
+	}()
+	return h.relay(ctx, run, 0, stream)
+}
+
+// Attach implements acaciawire.AgentServiceHandler.
+func (h *handler) Attach(ctx context.Context, request *acaciawire.AttachRequest, stream *connect.ServerStream[acaciawire.Chunk]) error {
+	run := h.agent.book.Find(request.RequestId)
+	if run == nil {
+		return connect.NewError(connect.CodeNotFound, acaciaroute.Errorf(acaciaroute.CodeOutcomeUnknown, "no run of this request is held"))
+	}
+	return h.relay(ctx, run, request.Offset, stream)
+}
+
+// Settle implements acaciawire.AgentServiceHandler.
+func (h *handler) Settle(_ context.Context, request *acaciawire.SettleRequest) (*acaciawire.SettleReply, error) {
+	a := h.agent
+	clock := a.process.Recorder.Clock()
+	state := acaciawire.RunUnknown
+	// Another incarnation of the agent gave the grant, and its runs are gone.
+	if a.granter.OwnGrant(request.Grant) {
+		state = a.book.Settle(request.RequestId)
+	}
+	a.process.Loop.Post(func() { a.granter.Withdraw(request.RequestId) })
+	a.process.Recorder.Record(acaciaevent.Event{
+		Kind:      acaciaevent.RequestSettled,
+		RequestID: request.RequestId,
+		Detail:    state.String(),
+	})
+	return &acaciawire.SettleReply{State: int32(state), Clock: uint64(clock.Next())}, nil
+}
+
+// LockKey implements acaciawire.AgentServiceHandler.
+func (h *handler) LockKey(_ context.Context, request *acaciawire.LockKeyRequest) (*acaciawire.LockKeyReply, error) {
+	a := h.agent
+	if request.Release {
+		a.book.Unlock(request.KeyHash, request.RequestId)
+		return &acaciawire.LockKeyReply{}, nil
+	}
+	holder, entry, locked := a.book.Lock(request.KeyHash, request.RequestId, request.Entry)
+	return &acaciawire.LockKeyReply{
+		Locked:          locked,
+		HolderRequestId: holder,
+		HolderEntry:     entry,
+		UptimeUs:        a.uptime().Microseconds(),
+	}, nil
+}
+
+// Cancel implements acaciawire.AgentServiceHandler.
+func (h *handler) Cancel(_ context.Context, request *acaciawire.CancelRequest) (*acaciawire.CancelReply, error) {
+	h.agent.book.Cancel(request.RequestId)
+	return &acaciawire.CancelReply{}, nil
+}
+
+func (h *handler) record(kind acaciaevent.Kind, reservation acaciaroute.Reservation) {
+	h.agent.process.Recorder.Record(acaciaevent.Event{
+		Kind:         kind,
+		RequestID:    reservation.RequestID,
+		Service:      reservation.Service,
+		Model:        reservation.Model,
+		Class:        reservation.Class,
+		Rank:         reservation.Rank,
+		Organisation: reservation.Organisation,
+		Endpoint:     h.agent.process.Settings.Process.ID,
+	})
+}
+
+func refusal(request *acaciawire.RunRequest, detail string) *acaciawire.Chunk {
+	return &acaciawire.Chunk{
+		RequestId: request.RequestId,
+		Grant:     request.Grant,
+		Final:     true,
+		Code:      int32(acaciaroute.CodeRefused),
+		Detail:    detail,
+	}
+}
--- /dev/null
+++ b/acaciaagent/order.go
@@ -0,0 +1,38 @@
+package acaciaagent
+
+import (
+	"context"
+	"errors"
+
+	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	"github.com/acaciaroute/acaciaroute/acaciaorder"
+	"github.com/acaciaroute/acaciaroute/acaciawire"
+)
+
+// Order implements acaciawire.AgentServiceHandler.
+func (h *handler) Order(ctx context.Context, request *acaciawire.OrderRequest) (*acaciawire.OrderReply, error) {
+	clock := h.agent.process.Recorder.Clock()
+	clock.Observe(acaciaevent.Stamp(request.Clock))
+	reply := acaciawire.FromOrderError(h.carryOut(ctx, request))
+	reply.Clock = uint64(clock.Next())
+	return reply, nil
+}
+
+func (h *handler) carryOut(ctx context.Context, request *acaciawire.OrderRequest) error {
+	if h.agent.guard == nil {
+		return acaciaroute.Errorf(acaciaroute.CodeOrderFenced, "a plain service takes no orders")
+	}
+	err := h.agent.guard.Do(ctx, acaciaroute.Offset(request.Fence), acaciaorder.Instruction{
+		VM:      request.Vm,
+		Service: request.Service,
+		Region:  request.Region,
+		Action:  acaciaroute.OrderAction(request.Action),
+		Model:   request.Model,
+	})
+	var coded *acaciaroute.Error
+	if err != nil && !errors.As(err, &coded) {
+		return &acaciaroute.Error{Code: acaciaroute.CodeOutcomeUnknown, Detail: "the engine did not answer", Err: err}
+	}
+	return err
+}
--- /dev/null
+++ b/acaciaconfiguration/judge_test.go
@@ -0,0 +1,203 @@
+package acaciaconfiguration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	"github.com/acaciaroute/acaciaroute/acaciastandin"
+)
+
+const targetsFormat = `
+[[service]]
+name = "archiv"
+kind = "plain"
+[[class]]
+name = "fetch-%d"
+services = ["archiv"]
+yield_order = 1
+served_share = 0.9
+first_token = "1s"
+whole_time = "2s"
+[[organisation]]
+name = "o"
+key_hashes = []
+classes = []
+`
+
+func targets(n int) string {
+	return fmt.Sprintf(targetsFormat, n)
+}
+
+func record(t assert.TestingT, offset acaciaroute.Offset, publication Publication) acaciaroute.Record {
+	data, err := json.Marshal(publication)
+	assert.NilError(t, err)
+	return acaciaroute.Record{Offset: offset, Data: data}
+}
+
+// drawStream draws publications of racing operators, some bad, and renewals as
+// processes make them that have read up to an earlier place.
+func drawStream(t *rapid.T) []acaciaroute.Record {
+	var records []acaciaroute.Record
+	judge := NewJudge(0)
+	for i := range rapid.IntRange(1, 25).Draw(t, "records") {
+		offset := acaciaroute.Offset(i)
+		current := judge.Current()
+		publication := Publication{ProposalID: fmt.Sprint(i), BasedOn: current.Version, Targets: targets(i)}
+		switch rapid.IntRange(0, 5).Draw(t, "kind") {
+		case 0:
+			publication.BasedOn = acaciaroute.Offset(rapid.IntRange(0, i).Draw(t, "based_on"))
+		case 1:
+			publication.Targets = "bad"
+		case 2, 3:
+			if current.Version > 0 {
+				publication.Renews = current.Version
+				publication.JudgedTo = offset
+				publication.Targets = current.Text
+			}
+		case 4:
+			if i > 0 {
+				seen := NewJudge(0)
+				to := rapid.IntRange(1, i).Draw(t, "judged_to")
+				for _, r := range records[:to] {
+					seen.Judge(r)
+				}
+				if old := seen.Current(); old.Version > 0 {
+					publication.Renews = old.Version
+					publication.JudgedTo = acaciaroute.Offset(to)
+					publication.Targets = old.Text
+				}
+			}
+		}
+		records = append(records, record(t, offset, publication))
+		judge.Judge(records[i])
+	}
+	return records
+}
+
+func TestAllReadersReachTheSameVerdictsWhereverTheyBegin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := drawStream(t)
+		whole := NewJudge(0)
+		versions := []acaciaroute.Offset{}
+		for _, r := range records {
+			whole.Judge(r)
+			versions = append(versions, whole.Current().Version)
+		}
+		oldest := rapid.IntRange(0, len(records)-1).Draw(t, "oldest")
+		late := NewJudge(acaciaroute.Offset(oldest))
+		for i := oldest; i < len(records); i++ {
+			before := late.Current().Version
+			late.Judge(records[i])
+			got := late.Current()
+			assert.Assert(t, got.Version >= before, "reverted from %d to %d", before, got.Version)
+			if late.Anchored() {
+				assert.Equal(t, got.Version, versions[i], "after record %d", i)
+			}
+		}
+	})
+}
+
+func TestOneOfTwoRacingOperatorsIsRefused(t *testing.T) {
+	ctx := context.Background()
+	log := acaciastandin.NewLog()
+	first, err := Publish(ctx, log, 0, targets(1))
+	assert.NilError(t, err)
+	assert.Check(t, first.Accepted)
+	second, err := Publish(ctx, log, 0, targets(2))
+	assert.NilError(t, err)
+	assert.Check(t, !second.Accepted)
+	assert.ErrorContains(t, second.Reason, "4003")
+}
+
+func TestLostAnswerOfAPublicationIsReadBack(t *testing.T) {
+	log := acaciastandin.NewLog()
+	log.SetFaults(acaciastandin.LogFaults{LoseAnswers: true})
+	verdict, err := Publish(context.Background(), log, 0, targets(1))
+	assert.NilError(t, err)
+	assert.Check(t, verdict.Accepted)
+}
+
+const retention = time.Hour
+
+// peer is a process that holds a configuration.
+type peer struct {
+	keeper *Keeper
+}
+
+func (p *peer) NewestConfiguration(context.Context) (acaciaroute.Offset, string, error) {
+	if p.keeper == nil || p.keeper.Current().Version == 0 {
+		return 0, "", acaciaroute.Errorf(acaciaroute.CodePeerDown, "none")
+	}
+	current := p.keeper.Current()
+	return current.Version, current.Text, nil
+}
+
+func startKeeper(log acaciaroute.Log, peers Peers) *Keeper {
+	recorder := acaciaevent.NewRecorder("p", acaciaevent.NewClock(time.Now), logr.Discard(), 100)
+	k := New(log, peers, recorder, Settings{Interval: time.Second, Retention: retention})
+	k.Start(context.Background())
+	return k
+}
+
+func TestVersionSurvivesRetentionAndOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := acaciastandin.NewLog()
+		log.SetFaults(acaciastandin.LogFaults{Keep: 1})
+		old := startKeeper(log, nil)
+		_, err := Publish(context.Background(), log, 0, targets(1))
+		assert.NilError(t, err)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, old.Current().Version, acaciaroute.Offset(1))
+
+		// Renewals push the first record out; a process that starts then finds one.
+		time.Sleep(retention)
+		head, next, err := log.Head(context.Background(), acaciaroute.StreamConfiguration)
+		assert.NilError(t, err)
+		assert.Check(t, head > 0 && next <= 5, "records %d to %d", head, next)
+		fresh := startKeeper(log, nil)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, fresh.Current().Version, acaciaroute.Offset(1))
+
+		// With the log down a new process learns from a peer.
+		log.SetFaults(acaciastandin.LogFaults{Down: true})
+		learner := startKeeper(log, &peer{old})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, learner.Current().Version, acaciaroute.Offset(1))
+
+		// It judges on once the log is back.
+		log.SetFaults(acaciastandin.LogFaults{})
+		verdict, err := Publish(context.Background(), log, 1, targets(2))
+		assert.NilError(t, err)
+		assert.Check(t, verdict.Accepted)
+		time.Sleep(4 * time.Second)
+		for _, k := range []*Keeper{old, fresh, learner} {
+			assert.Equal(t, k.Current().Version, verdict.Version)
+			k.Close()
+		}
+	})
+}
+
+func TestProcessCutFromTheLogHearsOfAVersionFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, cut := acaciastandin.NewLog(), acaciastandin.NewLog()
+		cut.SetFaults(acaciastandin.LogFaults{Down: true})
+		connected := startKeeper(log, nil)
+		lonely := startKeeper(cut, &peer{connected})
+		_, err := Publish(context.Background(), log, 0, targets(1))
+		assert.NilError(t, err)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, lonely.Current().Version, acaciaroute.Offset(1))
+		connected.Close()
+		lonely.Close()
+	})
+}
--- /dev/null
+++ b/acaciaentry/error.go
@@ -0,0 +1,56 @@
+package acaciaentry
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/acaciaroute/acaciaroute"
+)
+
+type (
+	// errorBody is the usual error object of model services, with our code.
+	errorBody struct {
+		Error errorObject `json:"error"`
+	}
+
+	errorObject struct {
+		Message string `json:"message"`
+		Type    string `json:"type"`
+		Code    int    `json:"code"`
+		// NotRun promises that the request did not run.
+		NotRun bool `json:"not_run"`
+	}
+)
+
+// writeError answers with an error; nothing may have been written before.
+func (e *Entry) writeError(w http.ResponseWriter, err error) {
+	var coded *acaciaroute.Error
+	if !errors.As(err, &coded) {
+		coded = &acaciaroute.Error{Code: acaciaroute.CodeBadRequest, Detail: err.Error()}
+	}
+	e.metrics.result(coded.Code)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(headerCode, strconv.Itoa(int(coded.Code)))
+	if coded.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(coded.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(coded.Code.HTTPStatus())
+	_, _ = w.Write(errorJSON(coded))
+}
+
+func errorJSON(err *acaciaroute.Error) []byte {
+	data, marshalErr := json.Marshal(errorBody{Error: errorObject{
+		Message: err.Detail,
+		Type:    err.Code.String(),
+		Code:    int(err.Code),
+		NotRun:  err.Code.NotRun(),
+	}})
+	if marshalErr != nil {
+		return nil
+	}
+	return append(data, '\n')
+}
--- /dev/null
+++ b/acaciaevent/kind.go
@@ -0,0 +1,139 @@
+package acaciaevent
+
+import "fmt"
+
+// Kind numbers an event; docs/EVENTS.md lists every value.
+type Kind int
+
+// The kinds of events. 1xx: processes. 2xx: requests. 3xx: idempotency keys.
+// 4xx: configuration. 5xx: the platform and peers. 6xx: orders to engines.
+const (
+	ProcessStarted  Kind = 101
+	ProcessReady    Kind = 102
+	ProcessStopping Kind = 103
+	ProcessStopped  Kind = 104
+
+	RequestArrived       Kind = 201
+	RequestRefused       Kind = 202
+	RequestShed          Kind = 203
+	RequestAccepted      Kind = 204
+	ReservationQueued    Kind = 205
+	ReservationWithdrawn Kind = 206
+	GrantGiven           Kind = 207
+	GrantExpired         Kind = 208
+	RequestDispatched    Kind = 209
+	FirstToken           Kind = 210
+	AnswerFinished       Kind = 211
+	AnswerDelivered      Kind = 212
+	AnswerCut            Kind = 213
+	RequestCancelled     Kind = 214
+	OutcomeUnknown       Kind = 215
+	AnswerResumed        Kind = 216
+	RequestSettled       Kind = 217
+	EngineFailed         Kind = 218
+	EndpointDied         Kind = 219
+	RequestIsolated      Kind = 220
+	ReservationLate      Kind = 221
+
+	KeyClaimed   Kind = 301
+	KeyAttached  Kind = 302
+	KeyConflict  Kind = 303
+	KeyUndecided Kind = 304
+
+	ConfigurationApplied Kind = 401
+	ConfigurationRefused Kind = 402
+	ConfigurationLearned Kind = 403
+	ConfigurationKept    Kind = 404
+
+	LogDown     Kind = 501
+	LogUp       Kind = 502
+	VMListDown  Kind = 503
+	VMListUp    Kind = 504
+	VMLeaving   Kind = 505
+	VMListed    Kind = 506
+	LogTrimmed  Kind = 508
+	CacheMissed Kind = 509
+
+	LeaseTaken   Kind = 601
+	OrderIssued  Kind = 602
+	OrderDone    Kind = 603
+	OrderFailed  Kind = 604
+	OrderSent    Kind = 605
+	OrderRefused Kind = 606
+)
+
+// DetailSafe marks the arrival of a request that may run more than once.
+const DetailSafe = "safe"
+
+var kindNames = map[Kind]string{
+	ProcessStarted:  "process_started",
+	ProcessReady:    "process_ready",
+	ProcessStopping: "process_stopping",
+	ProcessStopped:  "process_stopped",
+
+	RequestArrived:       "request_arrived",
+	RequestRefused:       "request_refused",
+	RequestShed:          "request_shed",
+	RequestAccepted:      "request_accepted",
+	ReservationQueued:    "reservation_queued",
+	ReservationWithdrawn: "reservation_withdrawn",
+	GrantGiven:           "grant_given",
+	GrantExpired:         "grant_expired",
+	RequestDispatched:    "request_dispatched",
+	FirstToken:           "first_token",
+	AnswerFinished:       "answer_finished",
+	AnswerDelivered:      "answer_delivered",
+	AnswerCut:            "answer_cut",
+	RequestCancelled:     "request_cancelled",
+	OutcomeUnknown:       "outcome_unknown",
+	AnswerResumed:        "answer_resumed",
+	RequestSettled:       "request_settled",
+	EngineFailed:         "engine_failed",
+	EndpointDied:         "endpoint_died",
+	RequestIsolated:      "request_isolated",
+	ReservationLate:      "reservation_late",
+
+	KeyClaimed:   "key_claimed",
+	KeyAttached:  "key_attached",
+	KeyConflict:  "key_conflict",
+	KeyUndecided: "key_undecided",
+
+	ConfigurationApplied: "configuration_applied",
+	ConfigurationRefused: "configuration_refused",
+	ConfigurationLearned: "configuration_learned",
+	ConfigurationKept:    "configuration_kept",
+
+	LogDown:     "log_down",
+	LogUp:       "log_up",
+	VMListDown:  "vm_list_down",
+	VMListUp:    "vm_list_up",
+	VMLeaving:   "vm_leaving",
+	VMListed:    "vm_listed",
+	LogTrimmed:  "log_trimmed",
+	CacheMissed: "cache_missed",
+
+	LeaseTaken:   "lease_taken",
+	OrderIssued:  "order_issued",
+	OrderDone:    "order_done",
+	OrderFailed:  "order_failed",
+	OrderSent:    "order_sent",
+	OrderRefused: "order_refused",
+}
+
+// Kinds returns every known kind.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(kindNames))
+	for kind := range kindNames {
+		kinds = append(kinds, kind)
+	}
+	return kinds
+}
+
+// String returns the kind's snake-case name.
+func (k Kind) String() string {
+	name, ok := kindNames[k]
+	if !ok {
+		return fmt.Sprintf("kind_%d", int(k))
+	}
+	return name
+}
--- /dev/null
+++ b/acaciaexperiment/compare.go
@@ -0,0 +1,23 @@
+package acaciaexperiment
+
+import "runtime"
+
+// Compare plays every contender through every scenario, several at once, and
+// returns the measures in that order.
+func Compare(workload Workload, scenarios []Scenario, contenders []Contender, seed uint64) []Measures {
+	rows := make([]Measures, len(scenarios)*len(contenders))
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	done := make(chan struct{}, len(rows))
+	for i := range rows {
+		slots <- struct{}{}
+		go func() {
+			rows[i] = Measure(Play(workload, scenarios[i/len(contenders)], contenders[i%len(contenders)], seed))
+			<-slots
+			done <- struct{}{}
+		}()
+	}
+	for range rows {
+		<-done
+	}
+	return rows
+}
--- /dev/null
+++ b/acaciaplot/plot.go
@@ -0,0 +1,66 @@
+package acaciaplot
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/acaciaroute/acaciaroute/acaciaexperiment"
+)
+
+const (
+	width  = 9 * vg.Inch
+	height = 4.5 * vg.Inch
+
+	directoryMode = 0o755
+)
+
+// WriteAll draws, for each scenario of a workload, the share of requests within
+// their targets over time by policy, one PNG file each below dir.
+func WriteAll(dir string, workload acaciaexperiment.Workload, rows []acaciaexperiment.Measures) error {
+	if err := os.MkdirAll(dir, directoryMode); err != nil {
+		return err
+	}
+	scenarios := map[string][]acaciaexperiment.Measures{}
+	for _, row := range rows {
+		scenarios[row.Scenario] = append(scenarios[row.Scenario], row)
+	}
+	for scenario, policies := range scenarios {
+		path := filepath.Join(dir, fmt.Sprintf("%s_%s.png", workload.Name, scenario))
+		if err := write(path, workload.Name+", "+scenario, policies); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func write(path, title string, policies []acaciaexperiment.Measures) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "time of arrival in seconds"
+	p.Y.Label.Text = "share within targets"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Left = true
+	var lines []any
+	for _, policy := range policies {
+		lines = append(lines, policy.Contender, points(policy))
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(width, height, path)
+}
+
+func points(row acaciaexperiment.Measures) plotter.XYs {
+	xys := make(plotter.XYs, len(row.Series))
+	for i, share := range row.Series {
+		xys[i].X = float64(i) * acaciaexperiment.SeriesStep.Seconds()
+		xys[i].Y = share
+	}
+	return xys
+}
--- /dev/null
+++ b/acaciarun/answer_test.go
@@ -0,0 +1,204 @@
+package acaciarun
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciawire"
+)
+
+// readAll reads an answer from an offset to its end.
+func readAll(t assert.TestingT, a *Answer, offset int64) ([]byte, *End) {
+	var got []byte
+	for {
+		part, err := a.Next(context.Background(), offset)
+		assert.NilError(t, err)
+		got = append(got, part.Data...)
+		offset += int64(len(part.Data))
+		if part.End != nil {
+			return got, part.End
+		}
+	}
+}
+
+func TestAnswerIsWholeFromAnyOffset(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pieces := rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 1, 200), 0, 20).Draw(t, "pieces")
+		whole := bytes.Join(pieces, nil)
+		offset := rapid.IntRange(0, len(whole)).Draw(t, "offset")
+		a := NewAnswer(0, 0)
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			for _, piece := range pieces {
+				_ = a.Append(context.Background(), piece)
+			}
+			a.Finish(acaciaroute.CodeOK, "")
+		}()
+		got, end := readAll(t, a, 0)
+		<-written
+		assert.DeepEqual(t, append([]byte{}, got...), append([]byte{}, whole...))
+		assert.Equal(t, end.Total, int64(len(whole)))
+		assert.Equal(t, end.Digest, xxhash.Sum64(whole))
+		rest, _ := readAll(t, a, int64(offset))
+		assert.Check(t, bytes.Equal(rest, whole[offset:]))
+	})
+}
+
+func TestFullWindowSlowsTheEndpointAndDropsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const window, kept, pieces = 1000, 300, 50
+		a := NewAnswer(window, kept)
+		go func() {
+			for range pieces {
+				_ = a.Append(context.Background(), make([]byte, 100))
+			}
+			a.Finish(acaciaroute.CodeOK, "")
+		}()
+		synctest.Wait()
+		assert.Equal(t, a.Len(), window)
+		got, _ := readAll(t, a, 0)
+		assert.Equal(t, len(got), pieces*100)
+		assert.Check(t, a.Len() <= window+2*kept, "%d bytes are held", a.Len())
+		_, err := a.Next(context.Background(), 0)
+		assert.ErrorContains(t, err, "3002")
+	})
+}
+
+func TestBytesSentBeforeACutAreRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 1000
+		kept := rapid.IntRange(0, 500).Draw(t, "kept")
+		lost := rapid.IntRange(0, kept).Draw(t, "lost")
+		a := NewAnswer(window, kept)
+		whole := make([]byte, 0, 20*window)
+		sent := int64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "parts") {
+			data := rapid.SliceOfN(rapid.Byte(), 1, window).Draw(t, "data")
+			whole = append(whole, data...)
+			assert.NilError(t, a.Append(context.Background(), data))
+			part, err := a.Next(context.Background(), sent)
+			assert.NilError(t, err)
+			sent += int64(len(part.Data))
+			_, _, err = a.part(sent)
+			assert.NilError(t, err)
+		}
+		a.Finish(acaciaroute.CodeOK, "")
+		received := max(0, sent-int64(lost))
+		rest, _ := readAll(t, a, received)
+		assert.Check(t, bytes.Equal(rest, whole[received:]))
+	})
+}
+
+func newTestBook(now *time.Time) *Book {
+	settings := Settings{
+		KeyedLife:     time.Hour,
+		Life:          time.Second,
+		Bytes:         1000,
+		Window:        100,
+		Patience:      10 * time.Second,
+		KeyedPatience: 2 * time.Minute,
+	}
+	return NewBook(settings, func() time.Time { return *now })
+}
+
+func TestSettledRequestNeverRuns(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := newTestBook(&now)
+	assert.Equal(t, b.Settle("a"), acaciawire.RunNever)
+	_, ok := b.Begin("a", "", "", 1, func() {})
+	assert.Check(t, !ok)
+}
+
+// A request that a slow endpoint gave back may come again; one that ended in another
+// way may not.
+func TestOnlyARequestThatWasTakenBackRunsAgain(t *testing.T) {
+	for code, again := range map[acaciaroute.Code]bool{
+		acaciaroute.CodeTakenBack: true,
+		acaciaroute.CodeAnswerCut: false,
+		acaciaroute.CodeOK:        false,
+	} {
+		book := NewBook(Settings{Life: time.Minute}, time.Now)
+		run, ok := book.Begin("r", "", "e", 1, func() {})
+		assert.Check(t, ok)
+		_, ok = book.Begin("r", "", "e", 2, func() {})
+		assert.Check(t, !ok, "while it runs")
+		run.Answer.Finish(code, "")
+		book.End(run)
+		_, ok = book.Begin("r", "", "e", 2, func() {})
+		assert.Equal(t, ok, again, "after code %d", code)
+	}
+}
+
+func TestDroppedRunIsNotForgotten(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := newTestBook(&now)
+	run, ok := b.Begin("a", "key", "e", 1, func() {})
+	assert.Check(t, ok)
+	assert.Equal(t, b.Settle("a"), acaciawire.RunRunning)
+	assert.NilError(t, run.Answer.Append(context.Background(), make([]byte, 2000)))
+	run.Answer.Finish(acaciaroute.CodeOK, "")
+	b.End(run)
+	b.Sweep()
+	assert.Check(t, b.Find("a") == nil)
+	assert.Equal(t, b.Settle("a"), acaciawire.RunFinished)
+	assert.Check(t, b.KeyDropped("key"))
+	_, again := b.Begin("b", "key", "e", 2, func() {})
+	assert.Check(t, !again)
+}
+
+func TestRunThatNobodyReadsIsCancelled(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := newTestBook(&now)
+	cancelled := false
+	run, _ := b.Begin("a", "", "", 1, func() { cancelled = true })
+	leave := b.AddReader(run)
+	now = now.Add(time.Minute)
+	b.Sweep()
+	assert.Check(t, !cancelled)
+	leave()
+	now = now.Add(time.Minute)
+	b.Sweep()
+	assert.Check(t, cancelled)
+}
+
+func TestRunWithAKeyWaitsLongerForItsCaller(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := newTestBook(&now)
+	cancelled := false
+	_, ok := b.Begin("a", "key", "e", 1, func() { cancelled = true })
+	assert.Check(t, ok)
+	now = now.Add(time.Minute)
+	b.Sweep()
+	assert.Check(t, !cancelled)
+	now = now.Add(2 * time.Minute)
+	b.Sweep()
+	assert.Check(t, cancelled)
+}
+
+func TestLockKeepsAllOthersOut(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := newTestBook(&now)
+	_, _, ok := b.Lock("key", "a", "entry-a")
+	assert.Check(t, ok)
+	holder, entry, ok := b.Lock("key", "b", "entry-b")
+	assert.Check(t, !ok)
+	assert.Equal(t, holder+" "+entry, "a entry-a")
+	_, ok = b.Begin("b", "key", "entry-b", 1, func() {})
+	assert.Check(t, !ok)
+	b.Unlock("key", "b")
+	_, ok = b.Begin("a", "key", "entry-a", 2, func() {})
+	assert.Check(t, ok)
+	b.Unlock("key", "a")
+	holder, _, ok = b.Lock("key", "c", "entry-c")
+	assert.Check(t, !ok)
+	assert.Equal(t, holder, "a")
+}
--- /dev/null
+++ b/acaciasetting/settings.go
@@ -0,0 +1,226 @@
+package acaciasetting
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciatoml"
+)
+
+type (
+	// Settings are the whole file of one process.
+	Settings struct {
+		Process  Process  `toml:"process"`
+		Platform Platform `toml:"platform"`
+		Entry    *Entry   `toml:"entry"`
+		Agent    *Agent   `toml:"agent"`
+	}
+
+	// Process says who and where the process is.
+	Process struct {
+		// ID is the ID of the VM in the platform's list.
+		ID string `toml:"id"`
+		// Address is where other processes and operators reach it, as IP:port.
+		Address string `toml:"address"`
+		Place   string `toml:"place"`
+		Region  string `toml:"region"`
+		// Verbose turns on the log lines of single requests.
+		Verbose bool `toml:"verbose"`
+		// DrainTime bounds a graceful stop.
+		DrainTime acaciatoml.Duration `toml:"drain_time"`
+	}
+
+	// Platform says where the platform's services are.
+	Platform struct {
+		Log    string `toml:"log"`
+		VMList string `toml:"vm_list"`
+		// WeightStore is the weight store; without it the process gives no orders to
+		// engines.
+		WeightStore string `toml:"weight_store"`
+		// LinkBytesPerSecond is what the link to other regions carries each way for
+		// requests and answers; zero for no bound.
+		LinkBytesPerSecond int64 `toml:"link_bytes_per_second"`
+		// LogRetention is how long the log keeps records.
+		LogRetention acaciatoml.Duration `toml:"log_retention"`
+	}
+
+	// Entry holds the settings of an entry.
+	Entry struct {
+		// Listen is where callers reach the entry, as IP:port.
+		Listen string `toml:"listen"`
+		// MaxBodyBytes bounds a request body.
+		MaxBodyBytes int64 `toml:"max_body_bytes"`
+		// BodyTimeout bounds how long a caller may take to send a request.
+		BodyTimeout acaciatoml.Duration `toml:"body_timeout"`
+	}
+
+	// Agent holds the settings of an agent.
+	Agent struct {
+		// Kind is model or plain.
+		Kind string `toml:"kind"`
+		// Endpoint is the base URL of the endpoint.
+		Endpoint string `toml:"endpoint"`
+		// PlainLimit is how many calls a plain service runs at once.
+		PlainLimit int `toml:"plain_limit"`
+		// CacheTokens is the size of the engine's prefix cache.
+		CacheTokens int `toml:"cache_tokens"`
+		// ChecksFencing tells that the engine refuses orders with old fencing
+		// numbers.
+		ChecksFencing bool `toml:"checks_fencing"`
+		// AnswerBytes bounds the answers kept for callers that come back.
+		AnswerBytes int64 `toml:"answer_bytes"`
+	}
+)
+
+const (
+	// KindModel is an agent before a model engine.
+	KindModel = "model"
+	// KindPlain is an agent before a plain service.
+	KindPlain = "plain"
+
+	defaultMaxBodyBytes = 4 << 20
+	defaultBodyTimeout  = acaciatoml.Duration(20 * time.Second)
+	defaultDrainTime    = acaciatoml.Duration(2 * time.Minute)
+	defaultAnswerBytes  = 64 << 20
+	defaultRetention    = acaciatoml.Duration(time.Hour)
+)
+
+// Load reads and checks the settings in a file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &acaciaroute.Error{Code: acaciaroute.CodeBadSettings, Detail: "settings cannot be read", Err: err}
+	}
+	return Parse(data)
+}
+
+// Parse reads and checks settings; errors have CodeBadSettings.
+func Parse(data []byte) (Settings, error) {
+	settings := Settings{}
+	document, err := acaciatoml.Decode(acaciaroute.CodeBadSettings, data, &settings)
+	if err != nil {
+		return Settings{}, err
+	}
+	checks := []func(*acaciatoml.Document) error{
+		settings.checkProcess,
+		settings.checkPlatform,
+		settings.checkRole,
+		settings.checkEntry,
+		settings.checkAgent,
+	}
+	for _, check := range checks {
+		if err := check(document); err != nil {
+			return Settings{}, err
+		}
+	}
+	return settings, nil
+}
+
+func (s *Settings) checkProcess(document *acaciatoml.Document) error {
+	if err := document.Require("process", "id", "address", "place", "region"); err != nil {
+		return err
+	}
+	if s.Process.DrainTime == 0 {
+		s.Process.DrainTime = defaultDrainTime
+	}
+	if s.Process.DrainTime < 0 {
+		return document.Errorf("process.drain_time", "must be positive")
+	}
+	return checkAddress(document, "process.address", s.Process.Address)
+}
+
+func (s *Settings) checkPlatform(document *acaciatoml.Document) error {
+	if err := document.Require("platform", "log", "vm_list"); err != nil {
+		return err
+	}
+	if s.Platform.LogRetention == 0 {
+		s.Platform.LogRetention = defaultRetention
+	}
+	if s.Platform.LinkBytesPerSecond < 0 {
+		return document.Errorf("platform.link_bytes_per_second", "must be positive")
+	}
+	if s.Platform.LogRetention < 0 {
+		return document.Errorf("platform.log_retention", "must be positive")
+	}
+	if err := checkURL(document, "platform.log", s.Platform.Log); err != nil {
+		return err
+	}
+	if s.Platform.WeightStore != "" {
+		if err := checkURL(document, "platform.weight_store", s.Platform.WeightStore); err != nil {
+			return err
+		}
+	}
+	return checkURL(document, "platform.vm_list", s.Platform.VMList)
+}
+
+func (s *Settings) checkRole(document *acaciatoml.Document) error {
+	if (s.Entry == nil) == (s.Agent == nil) {
+		return document.Errorf("entry", "exactly one of the tables entry and agent is needed")
+	}
+	return nil
+}
+
+func (s *Settings) checkEntry(document *acaciatoml.Document) error {
+	if s.Entry == nil {
+		return nil
+	}
+	if err := document.Require("entry", "listen"); err != nil {
+		return err
+	}
+	if s.Entry.MaxBodyBytes == 0 {
+		s.Entry.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if s.Entry.MaxBodyBytes < 0 {
+		return document.Errorf("entry.max_body_bytes", "must be positive")
+	}
+	if s.Entry.BodyTimeout == 0 {
+		s.Entry.BodyTimeout = defaultBodyTimeout
+	}
+	if s.Entry.BodyTimeout < 0 {
+		return document.Errorf("entry.body_timeout", "must be positive")
+	}
+	return checkAddress(document, "entry.listen", s.Entry.Listen)
+}
+
+func (s *Settings) checkAgent(document *acaciatoml.Document) error {
+	if s.Agent == nil {
+		return nil
+	}
+	if err := document.Require("agent", "kind", "endpoint"); err != nil {
+		return err
+	}
+	if s.Agent.Kind != KindModel && s.Agent.Kind != KindPlain {
+		return document.Errorf("agent.kind", "must be %q or %q", KindModel, KindPlain)
+	}
+	if s.Agent.PlainLimit < 0 {
+		return document.Errorf("agent.plain_limit", "must be positive")
+	}
+	if s.Agent.CacheTokens < 0 {
+		return document.Errorf("agent.cache_tokens", "must be positive")
+	}
+	if s.Agent.AnswerBytes == 0 {
+		s.Agent.AnswerBytes = defaultAnswerBytes
+	}
+	if s.Agent.AnswerBytes < 0 {
+		return document.Errorf("agent.answer_bytes", "must be positive")
+	}
+	return checkURL(document, "agent.endpoint", s.Agent.Endpoint)
+}
+
+func checkAddress(document *acaciatoml.Document, key, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return document.Errorf(key, "must be IP:port, not %q", address)
+	}
+	return nil
+}
+
+func checkURL(document *acaciatoml.Document, key, address string) error {
+	parsed, err := url.Parse(address)
+	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+		return document.Errorf(key, "must be an http or https URL, not %q", address)
+	}
+	return nil
+}
--- /dev/null
+++ b/acaciasetting/settings_test.go
@@ -0,0 +1,49 @@
+package acaciasetting
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const goodEntry = `[process]
+id = "entry-1"
+address = "127.0.0.1:7000"
+place = "ost-wien"
+region = "ost"
+
+[platform]
+log = "http://127.0.0.1:7001"
+vm_list = "http://127.0.0.1:7002"
+
+[entry]
+listen = "127.0.0.1:8000"
+`
+
+func TestBadSettingsAreRefusedWithLineAndKey(t *testing.T) {
+	for name, test := range map[string]struct{ old, new, want string }{
+		"unknown key":   {`region = "ost"`, "region = \"ost\"\nzone = 1", "line 6: process.zone: unknown key"},
+		"missing key":   {"place = \"ost-wien\"\n", "", "line 1: process.place: key is missing"},
+		"host name":     {`address = "127.0.0.1:7000"`, `address = "localhost:7000"`, "line 3: process.address: must be IP:port"},
+		"bad URL":       {`log = "http://127.0.0.1:7001"`, `log = "127.0.0.1:7001"`, "line 8: platform.log"},
+		"two roles":     {"[entry]", "[agent]\nkind = \"model\"\nendpoint = \"http://127.0.0.1:1\"\n[entry]", "exactly one of the tables"},
+		"no role":       {"[entry]\nlisten = \"127.0.0.1:8000\"\n", "", "exactly one of the tables"},
+		"bad duration":  {`id = "entry-1"`, "id = \"entry-1\"\ndrain_time = \"soon\"", "line 3"},
+		"negative time": {`listen = "127.0.0.1:8000"`, "listen = \"127.0.0.1:8000\"\nbody_timeout = \"-1s\"", "line 13: entry.body_timeout: must be positive"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Assert(t, strings.Contains(goodEntry, test.old))
+			_, err := Parse([]byte(strings.Replace(goodEntry, test.old, test.new, 1)))
+			assert.ErrorContains(t, err, "4001")
+			assert.ErrorContains(t, err, test.want)
+		})
+	}
+}
+
+func TestDefaultsAreFilledIn(t *testing.T) {
+	settings, err := Parse([]byte(goodEntry))
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Entry.MaxBodyBytes, int64(defaultMaxBodyBytes))
+	assert.Equal(t, settings.Process.DrainTime, defaultDrainTime)
+}
--- /dev/null
+++ b/acaciastandin/weightstore_test.go
@@ -0,0 +1,26 @@
+package acaciastandin
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/acaciaroute/acaciaroute"
+)
+
+func TestWeightStoreSaysWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := NewWeightStore(time.Minute)
+		assert.NilError(t, store.Reserve(context.Background(), "plan"))
+		time.Sleep(20 * time.Second)
+		var busy *acaciaroute.Error
+		assert.Assert(t, errors.As(store.Reserve(context.Background(), "plan"), &busy))
+		assert.Equal(t, busy.Code, acaciaroute.CodeStoreBusy)
+		time.Sleep(busy.RetryAfter)
+		assert.NilError(t, store.Reserve(context.Background(), "plan"))
+	})
+}
--- /dev/null
+++ b/acaciasystem/order_test.go
@@ -0,0 +1,75 @@
+package acaciasystem
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	"github.com/acaciaroute/acaciaroute/acaciaorder"
+)
+
+// orders returns the orders that an engine has taken.
+func (c *cluster) orders(n *node) []acaciaroute.Order {
+	c.t.Helper()
+	response, err := c.client.Get("http://" + n.backend + "/orders")
+	assert.NilError(c.t, err)
+	var orders []acaciaroute.Order
+	assert.NilError(c.t, json.NewDecoder(response.Body).Decode(&orders))
+	assert.NilError(c.t, response.Body.Close())
+	return orders
+}
+
+// declare publishes targets with more models, and returns when all entries have
+// them.
+func (c *cluster) declare(models string) {
+	c.t.Helper()
+	targets := strings.Replace(targetsText, `models = ["passage-plan"]`, "models = "+models, 1)
+	c.publish(targets + organisationText("hoehle"))
+}
+
+func TestDeclaredModelIsLoadedOnceThoughTheHolderFreezes(t *testing.T) {
+	c := newCluster(t, 2, 1, 0)
+	engine := c.engines[0]
+	c.declare(`["passage-plan", "legend"]`)
+	waitFor(t, func() bool { return len(c.orders(engine)) == 1 })
+	assert.Equal(t, c.orders(engine)[0].Model, "legend")
+	engine.vm.Models = append(engine.vm.Models, "legend")
+	c.setVM(engine.vm)
+	time.Sleep(2 * time.Second)
+	body := strings.Replace(modelBody("note", 5), modelName, "legend", 1)
+	got := c.call(c.entries[0], http.MethodPost, "/v1/completions", body, nil)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+
+	holder := c.holder()
+	holder.signal(t, syscall.SIGSTOP)
+	c.declare(`["passage-plan", "legend", "loops"]`)
+	waitLong(t, startupTime+acaciaorder.LeaseTime, func() bool { return len(c.orders(engine)) == 2 })
+	holder.signal(t, syscall.SIGCONT)
+	time.Sleep(3 * time.Second)
+	orders := c.orders(engine)
+	assert.Equal(t, len(orders), 2)
+	assert.Equal(t, orders[1].Model, "loops")
+	assert.Check(t, orders[1].Fence > orders[0].Fence)
+	checkEvents(t, c.events())
+}
+
+// holder returns the entry that took the lease.
+func (c *cluster) holder() *node {
+	c.t.Helper()
+	for _, event := range c.events() {
+		for _, entry := range c.entries {
+			if event.Kind == acaciaevent.LeaseTaken && event.Process == entry.vm.ID {
+				return entry
+			}
+		}
+	}
+	c.t.Fatal("nobody has taken the lease")
+	return nil
+}
--- /dev/null
+++ b/acaciawire/convert.go
@@ -0,0 +1,134 @@
+package acaciawire
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/acaciaroute/acaciaroute"
+)
+
+// RunState is what a process knows of a request's run.
+type RunState int32
+
+// The states of a run.
+const (
+	// RunUnknown says that the process cannot tell.
+	RunUnknown RunState = iota
+	// RunNever says that the request did not run and never will under this ID.
+	RunNever
+	// RunWaiting says that the request waits for a place.
+	RunWaiting
+	// RunRunning says that the request is in an endpoint.
+	RunRunning
+	// RunFinished says that the endpoint has answered.
+	RunFinished
+)
+
+// String returns the state's name.
+func (s RunState) String() string {
+	names := [...]string{"unknown", "never", "waiting", "running", "finished"}
+	if s < 0 || int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
+// FromReservation returns the message for a reservation.
+func FromReservation(r acaciaroute.Reservation) *ReserveRequest {
+	return &ReserveRequest{
+		RequestId:    r.RequestID,
+		Service:      r.Service,
+		Model:        r.Model,
+		Class:        r.Class,
+		Rank:         int32(r.Rank),
+		Organisation: r.Organisation,
+		PromptTokens: int32(r.PromptTokens),
+		OutputTokens: int32(r.OutputTokens),
+		Prefixes:     r.Prefixes,
+		SlackUs:      r.Slack.Microseconds(),
+		TokenGapUs:   r.TokenGap.Microseconds(),
+		Remote:       r.Remote,
+		Alone:        r.Alone,
+		Repeatable:   r.Repeatable,
+	}
+}
+
+// ToReservation returns the reservation in a message.
+func ToReservation(m *ReserveRequest) acaciaroute.Reservation {
+	return acaciaroute.Reservation{
+		RequestID:    m.RequestId,
+		Service:      m.Service,
+		Model:        m.Model,
+		Class:        m.Class,
+		Rank:         int(m.Rank),
+		Organisation: m.Organisation,
+		PromptTokens: int(m.PromptTokens),
+		OutputTokens: int(m.OutputTokens),
+		Prefixes:     m.Prefixes,
+		Slack:        time.Duration(m.SlackUs) * time.Microsecond,
+		TokenGap:     time.Duration(m.TokenGapUs) * time.Microsecond,
+		Remote:       m.Remote,
+		Alone:        m.Alone,
+		Repeatable:   m.Repeatable,
+	}
+}
+
+// FromOffer returns the message for an offer.
+func FromOffer(o acaciaroute.Offer) *OfferMessage {
+	return &OfferMessage{
+		Kind:         int32(o.Kind),
+		Grant:        o.Grant,
+		WaitUs:       o.Wait.Microseconds(),
+		CachedTokens: int32(o.CachedTokens),
+		Hint: &Hint{
+			Free:                 int32(o.Hint.Free),
+			Waiting:              int32(o.Hint.Waiting),
+			WaitUs:               o.Hint.Wait.Microseconds(),
+			GapUs:                o.Hint.Gap.Microseconds(),
+			PrefillRate:          o.Hint.PrefillRate,
+			ConfigurationVersion: int64(o.Hint.ConfigurationVersion),
+			Stopping:             o.Hint.Stopping,
+			Straggling:           o.Hint.Straggling,
+		},
+	}
+}
+
+// ToOffer returns the offer in a message about a request.
+func ToOffer(requestID string, m *OfferMessage) acaciaroute.Offer {
+	hint := m.GetHint()
+	return acaciaroute.Offer{
+		RequestID:    requestID,
+		Kind:         acaciaroute.OfferKind(m.Kind),
+		Grant:        m.Grant,
+		Wait:         time.Duration(m.WaitUs) * time.Microsecond,
+		CachedTokens: int(m.CachedTokens),
+		Hint: acaciaroute.Hint{
+			Free:                 int(hint.GetFree()),
+			Waiting:              int(hint.GetWaiting()),
+			Wait:                 time.Duration(hint.GetWaitUs()) * time.Microsecond,
+			Gap:                  time.Duration(hint.GetGapUs()) * time.Microsecond,
+			PrefillRate:          hint.GetPrefillRate(),
+			ConfigurationVersion: acaciaroute.Offset(hint.GetConfigurationVersion()),
+			Stopping:             hint.GetStopping(),
+			Straggling:           hint.GetStraggling(),
+		},
+	}
+}
+
+// FromHeader returns the message form of an HTTP header.
+func FromHeader(header http.Header) []*HeaderField {
+	fields := make([]*HeaderField, 0, len(header))
+	for name, values := range header {
+		fields = append(fields, &HeaderField{Name: name, Values: values})
+	}
+	return fields
+}
+
+// ToHeader returns the HTTP header in a message.
+func ToHeader(fields []*HeaderField) http.Header {
+	header := http.Header{}
+	for _, field := range fields {
+		header[http.CanonicalHeaderKey(field.GetName())] = field.GetValues()
+	}
+	return header
+}
--- /dev/null
+++ b/vm.go
@@ -0,0 +1,47 @@
+package acaciaroute
+
+import "context"
+
+type (
+	// VMState is the platform's view of a VM.
+	VMState string
+
+	// VM is one entry of the platform's VM list.
+	VM struct {
+		// ID names the VM; a replacement has another.
+		ID string `json:"id"`
+		// Role is RoleEntry or RoleEndpoint.
+		Role string `json:"role"`
+		// Service is the service that the endpoint on the VM serves.
+		Service string `json:"service,omitempty"`
+		// Models lists the models that a model endpoint has loaded.
+		Models []string `json:"models,omitempty"`
+		// Address is where the system's process on the VM listens, as IP:port.
+		Address string `json:"address"`
+		// Place is the data centre.
+		Place string `json:"place"`
+		// Region is the region of the place.
+		Region string `json:"region"`
+		// State is live or leaving.
+		State VMState `json:"state"`
+	}
+
+	// VMList is the platform's list of live and leaving VMs. It lags behind the
+	// truth by seconds: a listed VM may be dead and a new one may be missing.
+	VMList interface {
+		// VMs returns the whole list; an error has CodeVMListDown.
+		VMs(ctx context.Context) ([]VM, error)
+	}
+)
+
+// The states of a VM.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// The roles of a VM.
+const (
+	RoleEntry    = "entry"
+	RoleEndpoint = "endpoint"
+)
