Prove by its writes that a call did not reach the endpoint

An agent was frozen between its dial and its first byte. The endpoint closed the silent connection, and the agent, awake again, told 3003 ("the endpoint broke off") although nothing had been sent. Only a failed dial counted as proof.

Ruled out: reused connections (each call has its own), a second dispatch (the engine had no run), the entry (3003 came with the agent's answer_finished).

Change: a guard sees every write of a call's connection. After a failed start it forbids all later writes and says whether there was one. A connection that was closed before the first byte and a call given up while it connects now prove "not run".

--- a/acaciaengine/client.go
+++ b/acaciaengine/client.go
@@ -1,7 +1,6 @@
 package acaciaengine
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
@@ -14,10 +13,12 @@
 // and is never repeated by the transport.
 func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return newClient(dialer.DialContext)
+}
+
+func newClient(dial dialFunc) *http.Client {
 	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, network, address)
-		},
+		DialContext:        guarded(dial),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
--- a/acaciaengine/engine_test.go
+++ b/acaciaengine/engine_test.go
@@ -5,8 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -73,6 +76,61 @@
 	assert.Equal(t, string(data), `{"id":"x","object":"text_completion","created":0,"model":"","choices":[{"index":0,"text":"a ","finish_reason":null},{"index":1,"text":"b1 b2","finish_reason":"stop"}],"usage":{"total_tokens":3}}`)
 }
 
+// An endpoint closes a connection on which nothing comes, as while the agent is frozen
+// between its dial and its first byte.
+func TestConnectionClosedBeforeTheFirstByteProvesThatTheEndpointWasNotReached(t *testing.T) {
+	near, far := net.Pipe()
+	assert.NilError(t, far.Close())
+	closed := make(chan struct{})
+	client := newClient(func(context.Context, string, string) (net.Conn, error) {
+		return &closeSignal{Conn: near, closed: closed}, nil
+	})
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { <-closed },
+	})
+	_, err := NewPlain("http://endpoint", client).Start(ctx, acaciaroute.Call{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+	var failed *acaciaroute.StartError
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Check(t, !failed.Reached, "%v", err)
+}
+
+// closeSignal tells when the HTTP client has given a connection up.
+type closeSignal struct {
+	net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *closeSignal) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func TestCallGivenUpWhileItConnectsNeverReachesTheEndpoint(t *testing.T) {
+	near, far := net.Pipe()
+	ctx, giveUp := context.WithCancel(context.Background())
+	goOn := make(chan struct{})
+	dialled := make(chan net.Conn, 1)
+	dial := guarded(func(context.Context, string, string) (net.Conn, error) {
+		giveUp()
+		<-goOn
+		return near, nil
+	})
+	client := newClient(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		dialled <- conn
+		return conn, err
+	})
+	_, err := NewPlain("http://endpoint", client).Start(ctx, acaciaroute.Call{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+	var failed *acaciaroute.StartError
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Check(t, !failed.Reached, "%v", err)
+	close(goOn)
+	_, err = (<-dialled).Write([]byte("late"))
+	assert.Check(t, errors.Is(err, net.ErrClosed), "%v", err)
+	assert.NilError(t, far.Close())
+}
+
 func TestOnlyARefusedConnectionProvesThatTheEndpointWasNotReached(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	endpoint := NewPlain(server.URL, NewClient())
--- a/acaciaengine/plain.go
+++ b/acaciaengine/plain.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 
 	"github.com/acaciaroute/acaciaroute"
@@ -61,6 +59,7 @@
 
 // send sends a call once.
 func send(ctx context.Context, client *http.Client, base string, call acaciaroute.Call) (*http.Response, error) {
+	ctx, guard := withGuard(ctx)
 	request, err := http.NewRequestWithContext(ctx, call.Method, base+call.Path, onceReader(call.Body))
 	if err != nil {
 		return nil, &acaciaroute.StartError{Err: err}
@@ -72,7 +71,7 @@
 	request.Header.Set("X-Request-Id", call.RequestID)
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, &acaciaroute.StartError{Reached: !dialFailed(err), Err: err}
+		return nil, &acaciaroute.StartError{Reached: guard.seal(), Err: err}
 	}
 	return response, nil
 }
@@ -82,9 +81,3 @@
 func onceReader(body []byte) io.Reader {
 	return struct{ io.Reader }{bytes.NewReader(body)}
 }
-
-// dialFailed reports whether no connection was made at all.
-func dialFailed(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
