Hold the stopped step of a request until its process wakes

Cause: SIGSTOP sent to the own process stops all threads a moment later, so that the goroutine at the step ran on: the agent dialled before it froze, and which step was tested differed from run to run.

Change: the log handler waits for SIGCONT after it has sent SIGSTOP. The checks are as they were.

Ruled out: that the test now passes only by this. The product's fault has tests of its own (acaciaengine), which do not stop anything.

--- a/acaciasystem/step_test.go
+++ b/acaciasystem/step_test.go
@@ -61,11 +61,15 @@
 	{"engine-0", "answer_finished"},
 }
 
-// Handle implements slog.Handler.
+// Handle implements slog.Handler. The signal reaches other threads a moment later, so
+// that the caller is held back here until the process goes on.
 func (h stopHandler) Handle(ctx context.Context, record slog.Record) error {
 	err := h.Handler.Handle(ctx, record)
 	if record.Message == h.at && h.stopped.CompareAndSwap(false, true) {
+		woken := make(chan os.Signal, 1)
+		signal.Notify(woken, syscall.SIGCONT)
 		_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+		<-woken
 	}
 	return err
 }
@@ -119,6 +123,7 @@
 }
 
 func TestStopAtEachStepOfARequest(t *testing.T) {
+	t.Parallel()
 	for _, s := range steps {
 		for _, dies := range []bool{false, true} {
 			fate := "wakes"
