--- a/acaciasystem/again_test.go
+++ b/acaciasystem/again_test.go
@@ -51,6 +51,7 @@
 }
 
 func TestSlowEndpointGivesARepeatableRequestToAnother(t *testing.T) {
+	t.Parallel()
 	c := newRepeatableCluster(t, 3)
 	slow, others := c.engines[2], c.engines[:2]
 	for _, n := range others {
@@ -82,6 +83,7 @@
 }
 
 func TestRepeatableRequestOutlivesItsEndpoint(t *testing.T) {
+	t.Parallel()
 	c := newRepeatableCluster(t, 2)
 	first, other := c.engines[0], c.engines[1]
 	other.signal(t, syscall.SIGSTOP)
@@ -98,6 +100,7 @@
 
 // Content that is suspect already runs alone at once, and not again: one more death.
 func TestRepeatablePoisonKillsTwoEnginesAtMost(t *testing.T) {
+	t.Parallel()
 	const mostDeaths = 2
 	for name, first := range map[string]map[string]string{"unknown content": nil, "suspect content": key("once")} {
 		t.Run(name, func(t *testing.T) {
@@ -121,6 +124,7 @@
 
 // Such a request was once told "not run" by the search for another place.
 func TestSafeRequestThatBeganIsNotToldNotRun(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 0, 1)
 	only := c.plains[0]
 	got := make(chan answer, 1)
--- a/acaciasystem/bad_request_test.go
+++ b/acaciasystem/bad_request_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestBadRequestsGetNumberedErrors(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 1, 1)
 	good := modelBody("log", 1)
 	for name, test := range map[string]struct {
--- a/acaciasystem/cluster_test.go
+++ b/acaciasystem/cluster_test.go
@@ -14,7 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -57,8 +57,6 @@
 	startupTime = 15 * time.Second
 	// minKeyedUptime is how long a new agent runs no requests with keys.
 	minKeyedUptime = 3500 * time.Millisecond
-	firstPort      = 21000
-	lastPort       = 31000
 
 	targetsText = `
 [[service]]
@@ -100,7 +98,8 @@
 
 var (
 	binaries string
-	nextPort atomic.Int64
+	// given holds the addresses that this run has used.
+	given sync.Map
 )
 
 func TestMain(m *testing.M) {
@@ -118,7 +117,6 @@
 		panic(err)
 	}
 	binaries = dir
-	nextPort.Store(firstPort + int64(os.Getpid()%50)*100)
 	// Tests that run at once are few processes each, which wait most of the time.
 	_ = flag.Set("test.parallel", "20")
 	code := m.Run()
@@ -362,18 +360,18 @@
 	return total
 }
 
-// freeAddress returns an address below the ports that outgoing connections use.
+// freeAddress returns an address with a port from the kernel, used once in a run. It is
+// on a loopback IP of this run's own, from which no outgoing connection takes ports.
 func freeAddress(t *testing.T) string {
 	t.Helper()
+	pid := os.Getpid()
+	ip := net.IPv4(127, byte(128|pid>>16&0x3f), byte(pid>>8), byte(pid))
 	for {
-		port := nextPort.Add(1)
-		if port > lastPort {
-			t.Fatal("no free port")
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
+		listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: ip})
+		assert.NilError(t, err)
+		address := listener.Addr().String()
+		assert.NilError(t, listener.Close())
+		if _, used := given.LoadOrStore(address, true); !used {
 			return address
 		}
 	}
--- a/acaciasystem/crossed_test.go
+++ b/acaciasystem/crossed_test.go
@@ -64,6 +64,7 @@
 }
 
 func TestCallerNeverGetsAWrongChunk(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 0, 0)
 	for name, test := range map[string]struct {
 		spoil func(*acaciawire.Chunk)
--- a/acaciasystem/fault_test.go
+++ b/acaciasystem/fault_test.go
@@ -18,6 +18,7 @@
 )
 
 func TestAnswerGoesOnAfterACutBetweenEntryAndAgent(t *testing.T) {
+	t.Parallel()
 	const tokens = 300
 	c := newCluster(t, 1, 1, 0)
 	p := c.interpose(c.engines[0])
@@ -46,6 +47,7 @@
 }
 
 func TestAnswerSentIntoADeadConnectionIsNotLost(t *testing.T) {
+	t.Parallel()
 	const tokens = 300
 	c := newCluster(t, 1, 1, 0)
 	p := c.interpose(c.engines[0])
@@ -71,6 +73,7 @@
 }
 
 func TestOneWayCutIsNotTakenForNotRun(t *testing.T) {
+	t.Parallel()
 	for name, way := range map[string]direction{"answers are lost": toEntry, "requests are lost": toAgent} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t, 1, 1, 1)
@@ -95,6 +98,7 @@
 }
 
 func TestOtherRegionServesUntilTheLinkIsCut(t *testing.T) {
+	t.Parallel()
 	const patience = 2 * time.Second
 	c := newCluster(t, 1, 1, 0)
 	far := c.engines[0]
@@ -186,6 +190,7 @@
 // TestRandomFaultsLoseAndDoubleNothing lets callers repeat their keys through
 // other entries while processes die and freeze, links break and the log fails.
 func TestRandomFaultsLoseAndDoubleNothing(t *testing.T) {
+	t.Parallel()
 	const (
 		callers = 10
 		length  = 25 * time.Second
@@ -264,6 +269,7 @@
 // Streams that bring nothing for longer than peers are patient carry signs of life: the
 // first calls are quiet while they run, the last one while it waits for a place.
 func TestQuietStreamsAreNotGivenUp(t *testing.T) {
+	t.Parallel()
 	const (
 		limit = 32
 		delay = "11s"
@@ -286,6 +292,7 @@
 
 // A caller that reads nothing for a while once had its answer's stream taken for dead.
 func TestSlowCallerIsNotTakenForASilentAgent(t *testing.T) {
+	t.Parallel()
 	const (
 		size = 30_000_000
 		rest = 12 * time.Second
--- a/acaciasystem/key_test.go
+++ b/acaciasystem/key_test.go
@@ -56,6 +56,7 @@
 }
 
 func TestKeysAreDecidedWithoutTheLog(t *testing.T) {
+	t.Parallel()
 	const keys = 10
 	c := newCluster(t, 3, 0, 3)
 	c.fault(c.platform, `{"down":true}`)
@@ -82,6 +83,7 @@
 }
 
 func TestSameKeyAtOnceThroughAllEntriesRunsOnce(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, 1, 3)
 	sendAtOnce(t, c, 20)
 	late := c.call(c.entries[1], http.MethodPost, "/services/archiv/file?delay=100ms", "drawing 3", key("3"))
@@ -92,6 +94,7 @@
 }
 
 func TestAnswerSurvivesTheDeathOfItsEntry(t *testing.T) {
+	t.Parallel()
 	const tokens = 400
 	c := newCluster(t, 2, 2, 0)
 	first := make(chan answer, 1)
@@ -108,6 +111,7 @@
 }
 
 func TestDeathOfTheAgentIsToldAsUnknownAndNeverRunAgain(t *testing.T) {
+	t.Parallel()
 	const tokens = 2000
 	c := newCluster(t, 2, 1, 0)
 	first := make(chan answer, 1)
@@ -127,6 +131,7 @@
 }
 
 func TestFrozenAgentWakesWithoutASecondRun(t *testing.T) {
+	t.Parallel()
 	const tokens = 150
 	c := newCluster(t, 1, 2, 0)
 	answers := make(chan answer, 8)
--- a/acaciasystem/order_test.go
+++ b/acaciasystem/order_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestDeclaredModelIsLoadedOnceThoughTheHolderFreezes(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 2, 1, 0)
 	engine := c.engines[0]
 	c.declare(`["passage-plan", "legend"]`)
--- a/acaciasystem/path_test.go
+++ b/acaciasystem/path_test.go
@@ -101,6 +101,7 @@
 }
 
 func TestThousandMixedRequestsGetWholeAnswers(t *testing.T) {
+	t.Parallel()
 	const (
 		requests = 1000
 		parallel = 48
--- a/acaciasystem/poison_test.go
+++ b/acaciasystem/poison_test.go
@@ -29,6 +29,7 @@
 }
 
 func TestPoisonKillsTwoEnginesAtMost(t *testing.T) {
+	t.Parallel()
 	const (
 		innocents  = 3
 		mostDeaths = 2
--- a/acaciasystem/status_test.go
+++ b/acaciasystem/status_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestStatusComparesTheServedShareWithTheTarget(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 2, 1, 0)
 	note := map[string]string{"Acacia-Class": "note"}
 	for _, entry := range c.entries {
--- a/acaciasystem/stop_test.go
+++ b/acaciasystem/stop_test.go
@@ -79,6 +79,7 @@
 }
 
 func TestRollingReplacementCutsNothing(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 2, 3, 0)
 	l := startLoad(c, 12)
 	for _, n := range c.nodes() {
@@ -96,6 +97,7 @@
 }
 
 func TestLeavingEndpointGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	const grace = 3 * time.Second
 	c := newCluster(t, 1, 2, 0)
 	l := startLoad(c, 8)
@@ -116,6 +118,7 @@
 // A frozen agent does not know that its VM is leaving until it wakes. Entry and agent
 // both keep new work away; that an entry alone does is tested with its chooser.
 func TestLeavingEndpointWithAFrozenAgentGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	const grace = 3 * time.Second
 	c := newCluster(t, 1, 2, 0)
 	leaving, staying := c.engines[0], c.engines[1]
@@ -143,6 +146,7 @@
 }
 
 func TestServingGoesOnWhileTheLogIsDown(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 2, 2, 1)
 	c.fault(c.platform, `{"down":true}`)
 	l := startLoad(c, 6)
@@ -175,6 +179,7 @@
 }
 
 func TestPublishedTargetsAreInForceEverywhereWithinFourSeconds(t *testing.T) {
+	t.Parallel()
 	const budget = 4 * time.Second
 	c := newCluster(t, 3, 3, 1)
 	targets := targetsText + organisationText("hoehle") + organisationText("karst")
