Keep VMs for two seconds when the list returns without them

Cause: entries that could not be renewed while the list service was away are missing when it returns.

After an outage a missing VM stays for 2 s; one still missing then is gone.

--- /dev/null
+++ b/acaciaprocess/directory_test.go
@@ -0,0 +1,43 @@
+package acaciaprocess
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	"github.com/acaciaroute/acaciaroute/acaciastandin"
+)
+
+// The list comes back without a VM that could not renew its entry meanwhile.
+func TestLapsedVMStaysListedUntilItHadTimeToReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		returning := acaciaroute.VM{ID: "a", State: acaciaroute.VMLive}
+		dead := acaciaroute.VM{ID: "b", State: acaciaroute.VMLive}
+		list := acaciastandin.NewVMList(returning, dead)
+		recorder := acaciaevent.NewRecorder("entry", acaciaevent.NewClock(time.Now), logr.Discard(), 100)
+		directory := NewDirectory(list, recorder)
+		var counts []int
+		directory.OnChange(func(vms []acaciaroute.VM) { counts = append(counts, len(vms)) })
+		directory.Start(context.Background())
+		defer directory.Close()
+		time.Sleep(time.Second)
+
+		list.SetFaults(acaciastandin.VMListFaults{Down: true})
+		time.Sleep(time.Minute)
+		list.Remove(returning.ID)
+		list.Remove(dead.ID)
+		list.SetFaults(acaciastandin.VMListFaults{})
+		time.Sleep(time.Second)
+		assert.Equal(t, len(directory.VMs()), 2)
+		list.Set(returning)
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, directory.VMs(), []acaciaroute.VM{returning})
+		assert.DeepEqual(t, counts, []int{2, 1})
+	})
+}
