--- a/acaciaagent/agent.go
+++ b/acaciaagent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -74,6 +75,17 @@
 		CacheTokens: settings.CacheTokens,
 		FirstGrant:  rand.Uint64() &^ grantCounter,
 		TakeBack:    func(requestID string) { executions[requestID].takeBack() },
+		Straggled: func(straggling bool, slowdown float64) {
+			kind := acaciaevent.EndpointRecovered
+			if straggling {
+				kind = acaciaevent.EndpointSlowed
+			}
+			process.Recorder.Record(acaciaevent.Event{
+				Kind:     kind,
+				Endpoint: process.Settings.Process.ID,
+				Inputs:   &acaciaevent.Inputs{Slowdown: math.Round(slowdown*100) / 100},
+			})
+		},
 	}
 	keep := acaciarun.Settings{
 		KeyedLife: KeyedLife,
--- a/acaciaagent/execution.go
+++ b/acaciaagent/execution.go
@@ -25,6 +25,8 @@
 		// fate is decided once, by the first token or by a straggling endpoint.
 		fate   *atomic.Int32
 		ending bool
+		// started is when the endpoint was called.
+		started time.Time
 	}
 )
 
@@ -94,7 +96,7 @@
 	defer e.report(true)
 	a := e.agent
 	a.tally.Add(e.reservation.Class, e.reservation.Organisation, acaciaprocess.TallyRunning, 1)
-	started := time.Now()
+	e.started = time.Now()
 	e.record(acaciaevent.RequestDispatched, acaciaroute.CodeOK, "")
 	a.crashes.begin(e.run.RequestID, acaciakey.BodyDigest(e.call.Method, e.call.Path, e.call.Body), e.reservation.Alone)
 	code, detail := e.callEndpoint(ctx)
@@ -105,7 +107,7 @@
 	a.crashes.end(a.runs, e.run.RequestID, ended)
 	a.tally.Add(e.reservation.Class, e.reservation.Organisation, acaciaprocess.TallyRunning, -1)
 	a.tally.Add(e.reservation.Class, e.reservation.Organisation, acaciaprocess.TallyDone, 1)
-	a.metrics.runTime.WithLabelValues(e.reservation.Class).Observe(time.Since(started).Seconds())
+	a.metrics.runTime.WithLabelValues(e.reservation.Class).Observe(time.Since(e.started).Seconds())
 	e.leave()
 	if code == acaciaroute.CodeRefused {
 		a.book.Forget(e.run)
@@ -198,5 +200,6 @@
 		Endpoint:     e.agent.process.Settings.Process.ID,
 		Code:         code,
 		Detail:       detail,
+		Inputs:       &acaciaevent.Inputs{Waited: acaciaevent.Since(e.started)},
 	})
 }
--- a/acaciaagent/handler.go
+++ b/acaciaagent/handler.go
@@ -30,6 +30,7 @@
 	if !ok {
 		cancel()
 		chunk := refusal(request, "the request was refused for good, or its key is held by another")
+		chunk.ForGood = true
 		chunk.HolderRequestId, chunk.HolderEntry = a.book.Holder(request.KeyHash)
 		return stream.Send(chunk)
 	}
@@ -108,7 +109,7 @@
 	return &acaciawire.CancelReply{}, nil
 }
 
-func (h *handler) record(kind acaciaevent.Kind, reservation acaciaroute.Reservation) {
+func (h *handler) record(kind acaciaevent.Kind, reservation acaciaroute.Reservation, inputs *acaciaevent.Inputs) {
 	h.agent.process.Recorder.Record(acaciaevent.Event{
 		Kind:         kind,
 		RequestID:    reservation.RequestID,
@@ -118,6 +119,7 @@
 		Rank:         reservation.Rank,
 		Organisation: reservation.Organisation,
 		Endpoint:     h.agent.process.Settings.Process.ID,
+		Inputs:       inputs,
 	})
 }
 
--- a/acaciaagent/reserve.go
+++ b/acaciaagent/reserve.go
@@ -19,21 +19,23 @@
 	clock.Observe(acaciaevent.Stamp(request.Clock))
 	a.process.Keeper.Hear(acaciaroute.Offset(request.ConfigurationVersion))
 	reservation := acaciawire.ToReservation(request)
+	began := time.Now()
 	box := newMailbox()
 	granted := false
+	withdraw := func() {}
 	a.tally.Add(reservation.Class, reservation.Organisation, acaciaprocess.TallyWaiting, 1)
 	defer a.tally.Add(reservation.Class, reservation.Organisation, acaciaprocess.TallyWaiting, -1)
 	a.process.Loop.Post(func() {
-		h.record(acaciaevent.ReservationQueued, reservation)
-		a.granter.Reserve(reservation, func(offer acaciaroute.Offer) {
-			h.offered(reservation, offer, granted)
+		h.record(acaciaevent.ReservationQueued, reservation, h.inputs(reservation, began, a.granter.Hint()))
+		withdraw = a.granter.Reserve(reservation, func(offer acaciaroute.Offer) {
+			h.offered(reservation, offer, granted, began)
 			granted = offer.Kind == acaciaroute.OfferGranted
 			box.put(offer)
 		})
 	})
 	defer a.process.Loop.Post(func() {
-		h.record(acaciaevent.ReservationWithdrawn, reservation)
-		a.granter.Withdraw(reservation.RequestID)
+		h.record(acaciaevent.ReservationWithdrawn, reservation, h.inputs(reservation, began, a.granter.Hint()))
+		withdraw()
 	})
 	return h.sendOffers(ctx, box, stream)
 }
@@ -69,16 +71,32 @@
 	}
 }
 
-// offered notes an offer; granted tells that the one before was a grant. It runs
-// on the loop.
-func (h *handler) offered(reservation acaciaroute.Reservation, offer acaciaroute.Offer, granted bool) {
+// offered notes an offer for a reservation that came at began; granted tells that the
+// one before was a grant. It runs on the loop.
+func (h *handler) offered(reservation acaciaroute.Reservation, offer acaciaroute.Offer, granted bool, began time.Time) {
+	inputs := h.inputs(reservation, began, offer.Hint)
+	inputs.ExpectedWait = acaciaevent.Span(offer.Wait)
 	switch {
 	case offer.Kind == acaciaroute.OfferGranted:
 		h.agent.metrics.grants.WithLabelValues(reservation.Class).Inc()
-		h.record(acaciaevent.GrantGiven, reservation)
+		h.record(acaciaevent.GrantGiven, reservation, inputs)
 	case granted:
-		h.record(acaciaevent.GrantExpired, reservation)
+		h.record(acaciaevent.GrantExpired, reservation, inputs)
 	case offer.TooLate:
-		h.record(acaciaevent.ReservationLate, reservation)
+		h.record(acaciaevent.ReservationLate, reservation, inputs)
+	}
+}
+
+// inputs returns what the agent knows when it decides on a reservation that came at
+// began. It runs on the loop.
+func (h *handler) inputs(reservation acaciaroute.Reservation, began time.Time, hint acaciaroute.Hint) *acaciaevent.Inputs {
+	waited := time.Since(began)
+	return &acaciaevent.Inputs{
+		Waited:   acaciaevent.Span(waited),
+		Left:     acaciaevent.Span(reservation.Slack - waited),
+		Queued:   hint.Waiting,
+		Running:  h.agent.granter.Running(),
+		Free:     hint.Free,
+		TokenGap: acaciaevent.Span(hint.Gap),
 	}
 }
--- a/acaciachoice/chooser.go
+++ b/acaciachoice/chooser.go
@@ -42,8 +42,13 @@
 		Grant uint64
 		// RetryAfter is when to come back after a refusal.
 		RetryAfter time.Duration
-		// Asked is the number of agents that were asked.
-		Asked int
+		// Endpoints is the number of endpoints that could serve the request, Asked of
+		// those whose agents were asked, Declined of those that could not give a place
+		// in time, and Silent of those that had not answered.
+		Endpoints int
+		Asked     int
+		Declined  int
+		Silent    int
 		// LinkBytes is what was taken of the link's budget; SettleLink gets it back.
 		LinkBytes int64
 	}
@@ -156,7 +161,7 @@
 	held := c.memory.Held(reservation.Prefixes)
 	var candidates []acaciaroute.Candidate
 	for _, endpoint := range c.endpoints {
-		if !endpoint.serves(reservation) {
+		if !endpoint.serves(reservation) || slices.Contains(reservation.Avoid, endpoint.ID) {
 			continue
 		}
 		candidate := acaciaroute.Candidate{
--- a/acaciachoice/chooser_test.go
+++ b/acaciachoice/chooser_test.go
@@ -349,3 +349,36 @@
 		assert.Equal(t, len(b.decisions), 2-asked, "after %s", kind)
 	}
 }
+
+// Load pattern: an endpoint dies under many requests at once, and each of them looks for
+// another place.
+func TestEndpointsToAvoidAreNotAsked(t *testing.T) {
+	b := newBench()
+	avoid := []string{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"}
+	reservation := acaciaroute.Reservation{RequestID: "r", Service: "s", Slack: 10 * time.Second, Avoid: avoid}
+	b.chooser.Submit(reservation, false, func(d Decision) { b.decisions = append(b.decisions, d) })
+	b.pass(time.Second)
+	assert.DeepEqual(t, b.link.asked, []string{"e9"})
+}
+
+func TestRequestWhoseAgentsCannotBeReachedIsNotToldThatTheyDeclined(t *testing.T) {
+	for name, unreached := range map[string]bool{"unreached": true, "declined": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench()
+			b.submit(false)
+			for range 100 {
+				b.pass(20 * time.Millisecond)
+				for _, address := range slices.Clone(b.link.asked) {
+					b.link.notify[address](acaciaroute.Offer{RequestID: "r", Kind: acaciaroute.OfferRefused, Unreached: unreached})
+				}
+			}
+			assert.Equal(t, len(b.decisions), 1)
+			want := acaciaroute.CodeShed
+			if unreached {
+				want = acaciaroute.CodeNoEndpoint
+			}
+			assert.Equal(t, b.decisions[0].Code, want)
+			assert.Equal(t, b.decisions[0].Declined, endpointCount)
+		})
+	}
+}
--- a/acaciachoice/request.go
+++ b/acaciachoice/request.go
@@ -154,12 +154,9 @@
 func (r *request) accept(candidate acaciaroute.Candidate) {
 	r.finish(candidate.ID)
 	r.chooser.memory.Add(r.reservation.Prefixes, candidate.ID)
-	decision := Decision{
-		Code:      acaciaroute.CodeOK,
-		Candidate: candidate,
-		Grant:     candidate.Offer.Grant,
-		Asked:     r.asked,
-	}
+	decision := r.decision(acaciaroute.CodeOK)
+	decision.Candidate = candidate
+	decision.Grant = candidate.Offer.Grant
 	if candidate.Remote {
 		decision.LinkBytes = r.chooser.budget.spend(r.chooser.loop.Now(), r.reservation.Class)
 	}
@@ -190,10 +187,21 @@
 		return
 	}
 	if r.asked == len(r.candidates) || r.reservation.Alone && queued(r.candidates) > 0 || r.yieldsFirst && queued(r.candidates) >= fewAsked {
-		r.refuse(acaciaroute.CodeShed)
+		r.refuse(r.shedCode())
 	}
 }
 
+// shedCode tells a request that was declined from one whose agents could not be
+// reached.
+func (r *request) shedCode() acaciaroute.Code {
+	for i := range r.candidates {
+		if r.candidates[i].Asked && !r.candidates[i].Offer.Unreached {
+			return acaciaroute.CodeShed
+		}
+	}
+	return acaciaroute.CodeNoEndpoint
+}
+
 func (r *request) refuse(code acaciaroute.Code) {
 	if r.finished {
 		return
@@ -206,7 +214,25 @@
 		}
 	}
 	r.finish("")
-	r.done(Decision{Code: code, RetryAfter: r.chooser.retryAfter(wait), Asked: r.asked})
+	decision := r.decision(code)
+	decision.RetryAfter = r.chooser.retryAfter(wait)
+	r.done(decision)
+}
+
+// decision returns a decision that tells what the agents have said so far.
+func (r *request) decision(code acaciaroute.Code) Decision {
+	decision := Decision{Code: code, Endpoints: len(r.candidates), Asked: r.asked}
+	for i := range r.candidates {
+		candidate := &r.candidates[i]
+		switch {
+		case !candidate.Asked:
+		case candidate.Offer.Kind == 0:
+			decision.Silent++
+		case declined(candidate):
+			decision.Declined++
+		}
+	}
+	return decision
 }
 
 // finish withdraws all reservations but the one that was taken.
--- a/acaciaconfiguration/keeper.go
+++ b/acaciaconfiguration/keeper.go
@@ -46,6 +46,8 @@
 		lastRecord time.Time
 		renewAfter time.Duration
 		logDown    bool
+		// readAt is when the log was last read to its end.
+		readAt time.Time
 		// positioned tells that next has been set from the log.
 		positioned bool
 		changed    []func(Snapshot)
@@ -104,6 +106,13 @@
 	return k.judge.Current()
 }
 
+// ReadAt returns when the log was last read to its end; zero if it never was.
+func (k *Keeper) ReadAt() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.readAt
+}
+
 // learn takes a version from a peer.
 func (k *Keeper) learn(version acaciaroute.Offset, text string) {
 	if version <= k.Current().Version {
@@ -111,6 +120,11 @@
 	}
 	targets, err := acaciatarget.Parse([]byte(text))
 	if err != nil {
+		k.recorder.Record(acaciaevent.Event{
+			Kind:    acaciaevent.ConfigurationRefused,
+			Version: version,
+			Detail:  "from a peer: " + err.Error(),
+		})
 		return
 	}
 	snapshot := Snapshot{Version: version, Text: text, Targets: targets}
@@ -309,6 +323,11 @@
 
 func (k *Keeper) noteLog(err error) {
 	down := err != nil
+	if !down {
+		k.mu.Lock()
+		k.readAt = time.Now()
+		k.mu.Unlock()
+	}
 	if down == k.logDown {
 		return
 	}
--- a/acaciaentry/again.go
+++ b/acaciaentry/again.go
@@ -48,7 +48,10 @@
 	event := req.event(kind)
 	event.Code = result.Code
 	event.Count = int64(decision.Asked)
+	event.Detail = result.Detail
+	e.describe(&event, decision)
 	e.process.Recorder.Record(event)
+	e.metrics.ended(req, result.Code)
 	e.tally.Add(req.class.Name, req.organisation, acaciaprocess.TallyFailed, 1)
 	e.writeError(w, &result)
 	return result.Code
--- a/acaciaentry/caller.go
+++ b/acaciaentry/caller.go
@@ -35,7 +35,7 @@
 			header[name] = values
 		}
 	}
-	header.Set("X-Request-Id", r.req.id)
+	header.Set(headerRequestID, r.req.id)
 	r.events = strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 	r.w.WriteHeader(int(chunk.Status))
 }
@@ -86,7 +86,7 @@
 	r.entry.metrics.result(err.Code)
 	if r.events {
 		_, _ = r.w.Write([]byte("\nevent: error\ndata: "))
-		_, _ = r.w.Write(errorJSON(err))
+		_, _ = r.w.Write(errorJSON(err, r.req.id))
 		_, _ = r.w.Write([]byte("\n"))
 		_ = http.NewResponseController(r.w).Flush()
 	}
--- a/acaciaentry/error.go
+++ b/acaciaentry/error.go
@@ -22,6 +22,8 @@
 		Code    int    `json:"code"`
 		// NotRun promises that the request did not run.
 		NotRun bool `json:"not_run"`
+		// RequestID is the ID by which operators find the request.
+		RequestID string `json:"request_id,omitempty"`
 	}
 )
 
@@ -39,15 +41,17 @@
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(coded.RetryAfter.Seconds()))))
 	}
 	w.WriteHeader(coded.Code.HTTPStatus())
-	_, _ = w.Write(errorJSON(coded))
+	_, _ = w.Write(errorJSON(coded, header.Get(headerRequestID)))
 }
 
-func errorJSON(err *acaciaroute.Error) []byte {
+func errorJSON(err *acaciaroute.Error, requestID string) []byte {
 	data, marshalErr := json.Marshal(errorBody{Error: errorObject{
 		Message: err.Detail,
 		Type:    err.Code.String(),
 		Code:    int(err.Code),
 		NotRun:  err.Code.NotRun(),
+
+		RequestID: requestID,
 	}})
 	if marshalErr != nil {
 		return nil
--- a/acaciaentry/keyed.go
+++ b/acaciaentry/keyed.go
@@ -151,7 +151,9 @@
 func (e *Entry) refuseKeyed(w http.ResponseWriter, req *request, err error) {
 	event := req.event(acaciaevent.RequestShed)
 	event.Code = codeOf(err)
+	event.Detail = err.Error()
 	e.process.Recorder.Record(event)
+	e.metrics.ended(req, event.Code)
 	e.writeError(w, err)
 }
 
--- a/acaciaentry/metrics.go
+++ b/acaciaentry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -12,6 +13,7 @@
 type metrics struct {
 	codes     *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
+	wholeTime *prometheus.HistogramVec
 	asked     prometheus.Histogram
 	linkBytes *prometheus.CounterVec
 }
@@ -27,6 +29,11 @@
 			Help:    "Time until the first byte of the answer's body.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 14),
 		}, []string{"class"}),
+		wholeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "acaciaroute_request_seconds",
+			Help:    "Time from a request's arrival to its end, by outcome.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 16),
+		}, []string{"class", "outcome"}),
 		asked: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "acaciaroute_agents_asked",
 			Help:    "Agents asked for a place, by request.",
@@ -40,7 +47,12 @@
 }
 
 func (m *metrics) register(registry *prometheus.Registry) {
-	registry.MustRegister(m.codes, m.firstByte, m.asked, m.linkBytes)
+	registry.MustRegister(m.codes, m.firstByte, m.wholeTime, m.asked, m.linkBytes)
+}
+
+// ended notes the end of a request and how long it took.
+func (m *metrics) ended(req *request, code acaciaroute.Code) {
+	m.wholeTime.WithLabelValues(req.class.Name, code.String()).Observe(time.Since(req.arrived).Seconds())
 }
 
 func (m *metrics) result(code acaciaroute.Code) {
--- a/acaciaentry/recover.go
+++ b/acaciaentry/recover.go
@@ -79,6 +79,7 @@
 	r.entry.process.Recorder.Clock().Observe(acaciaevent.Stamp(reply.Clock))
 	switch acaciawire.RunState(reply.State) {
 	case acaciawire.RunNever:
+		r.barred = true
 		return acaciaroute.Error{Code: acaciaroute.CodeRefused, Detail: "the agent refused the request for good"}, true, nil
 	case acaciawire.RunRunning, acaciawire.RunFinished:
 		r.begun = true
@@ -90,8 +91,11 @@
 // reattach reads the answer on from where it broke off. An agent that sends
 // nothing in time is given up.
 func (r *relay) reattach(ctx context.Context) (acaciaroute.Error, bool, error) {
+	r.attempts++
 	event := r.req.event(acaciaevent.AnswerResumed)
 	event.Count = r.offset
+	event.Endpoint = r.endpoint()
+	event.Inputs.Attempts = r.attempts
 	r.entry.process.Recorder.Record(event)
 	message := &acaciawire.AttachRequest{RequestId: r.runID, Offset: r.offset, Grant: r.grant}
 	watched, stop, watchdog := acaciaprocess.NewWatchdog(ctx, settleTimeout)
--- a/acaciaentry/relay.go
+++ b/acaciaentry/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciachoice"
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciakey"
 	"github.com/acaciaroute/acaciaroute/acaciaprocess"
@@ -28,6 +29,10 @@
 		// remote tells that the agent stands in another region.
 		remote bool
 
+		// id is the VM of the agent, if the entry knows it.
+		id string
+		// attempts counts how often the agent was asked after a stream broke off.
+		attempts int
 		// first is when the first byte of the answer's body went to the caller.
 		first time.Time
 		begun bool
@@ -39,6 +44,8 @@
 		digest  *xxhash.Digest
 		// holder is who holds the key of a request that was refused for it.
 		holder acaciakey.Claim
+		// barred tells that the agent will never run the request.
+		barred bool
 	}
 
 	// chunkStream is a stream of chunks from an agent.
@@ -76,12 +83,31 @@
 	return r.req.safe() && !r.started && !r.req.alone
 }
 
+// accepted notes the grant that was taken, and what spoke for it.
+func (r *relay) accepted(decision acaciachoice.Decision) {
+	r.id = decision.Candidate.ID
+	event := r.req.event(acaciaevent.RequestAccepted)
+	event.Endpoint = r.id
+	r.entry.describe(&event, decision)
+	hint := decision.Candidate.Offer.Hint
+	event.Inputs.HintAge = acaciaevent.Span(max(0, decision.Candidate.HintAge))
+	event.Inputs.Queued = hint.Waiting
+	event.Inputs.Free = hint.Free
+	event.Inputs.TokenGap = acaciaevent.Span(hint.Gap)
+	r.entry.process.Recorder.Record(event)
+}
+
+// endpoint names where the request runs: the VM, or else its agent's address.
+func (r *relay) endpoint() string {
+	if r.id != "" {
+		return r.id
+	}
+	return r.address
+}
+
 // run sends the request to the agent that granted it, once, and relays.
 func (r *relay) run(ctx context.Context) acaciaroute.Error {
 	clock := r.entry.process.Recorder.Clock()
-	event := r.req.event(acaciaevent.RequestAccepted)
-	event.Endpoint = r.address
-	r.entry.process.Recorder.Record(event)
 	message := &acaciawire.RunRequest{
 		RequestId: r.req.id,
 		Grant:     r.grant,
@@ -147,6 +173,7 @@
 func (r *relay) take(chunk *acaciawire.Chunk) (acaciaroute.Error, bool) {
 	if chunk.Final && acaciaroute.Code(chunk.Code) == acaciaroute.CodeRefused {
 		r.holder = acaciakey.Claim{RequestID: chunk.HolderRequestId, Entry: chunk.HolderEntry, KeyHash: r.req.keyHash()}
+		r.barred = chunk.ForGood
 		return acaciaroute.Error{Code: acaciaroute.CodeRefused, Detail: chunk.Detail}, true
 	}
 	if !r.begun {
--- a/acaciaentry/request.go
+++ b/acaciaentry/request.go
@@ -26,18 +26,23 @@
 		body         []byte
 		key          string
 		arrived      time.Time
-		slack        time.Duration
-		yieldsFirst  bool
-		alone        bool
+		// version is that of the targets in force when the request came.
+		version     acaciaroute.Offset
+		slack       time.Duration
+		yieldsFirst bool
+		alone       bool
 		// takenBack tells that a slow endpoint has given the request back.
 		takenBack bool
 		prompt    prompt
+		// avoid names the endpoints that have run the request or will never do so.
+		avoid []string
 	}
 
 	// caller is who sent a request, and under which targets.
 	caller struct {
 		organisation acaciatarget.Organisation
 		targets      *acaciatarget.Targets
+		version      acaciaroute.Offset
 	}
 )
 
@@ -46,6 +51,8 @@
 	headerDeadline = "Acacia-Deadline"
 	headerCode     = "Acacia-Code"
 	headerKey      = "Idempotency-Key"
+	// headerRequestID tells callers by which ID operators find their request.
+	headerRequestID = "X-Request-Id"
 
 	maxKeyBytes = 255
 )
@@ -57,7 +64,7 @@
 		return nil, err
 	}
 	req := &request{
-		id:           uuid.Must(uuid.NewV7()).String(),
+		id:           newRequestID(),
 		organisation: who.organisation.Name,
 		class:        class,
 		service:      service,
@@ -65,6 +72,7 @@
 		header:       forwardedHeader(r.Header),
 		key:          r.Header.Get(headerKey),
 		arrived:      time.Now(),
+		version:      who.version,
 		slack:        class.TimeToFirst(),
 		yieldsFirst:  who.targets.YieldsFirst(class, service.Name),
 	}
@@ -81,6 +89,10 @@
 	return req, nil
 }
 
+func newRequestID() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
 // safe reports whether the request may run more than once.
 func (r *request) safe() bool {
 	return r.repeatable() || r.service.Kind == acaciatarget.KindPlain && (r.method == http.MethodGet || r.method == http.MethodHead || r.method == http.MethodOptions)
@@ -109,14 +121,20 @@
 		PromptTokens: r.prompt.tokens,
 		OutputTokens: r.prompt.maxTokens,
 		Prefixes:     r.prompt.prefixes,
-		Slack:        r.slack - time.Since(r.arrived),
+		Slack:        r.left(),
 		TokenGap:     time.Duration(r.class.TokenGap),
 		Alone:        r.alone,
 		Repeatable:   r.repeatable() && !r.takenBack,
+		Avoid:        r.avoid,
 	}
 }
 
-// event returns an event about the request.
+// left returns the time left for the first token.
+func (r *request) left() time.Duration {
+	return r.slack - time.Since(r.arrived)
+}
+
+// event returns an event about the request, with its time as inputs.
 func (r *request) event(kind acaciaevent.Kind) acaciaevent.Event {
 	return acaciaevent.Event{
 		Kind:         kind,
@@ -126,6 +144,11 @@
 		Class:        r.class.Name,
 		Rank:         r.class.YieldOrder,
 		Organisation: r.organisation,
+		Inputs: &acaciaevent.Inputs{
+			TargetsVersion: r.version,
+			Waited:         acaciaevent.Since(r.arrived),
+			Left:           acaciaevent.Span(r.left()),
+		},
 	}
 }
 
--- a/acaciaentry/routes.go
+++ b/acaciaentry/routes.go
@@ -53,7 +53,8 @@
 // withCaller finds out who calls.
 func (e *Entry) withCaller(next func(http.ResponseWriter, *http.Request, caller)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		targets := e.process.Keeper.Current().Targets
+		current := e.process.Keeper.Current()
+		targets := current.Targets
 		if targets == nil {
 			e.refuse(w, &acaciaroute.Error{Code: acaciaroute.CodeNotReady, Detail: "no targets are in force", RetryAfter: time.Second})
 			return
@@ -68,7 +69,7 @@
 			e.refuse(w, acaciaroute.Errorf(acaciaroute.CodeUnauthenticated, "the key belongs to no organisation"))
 			return
 		}
-		next(w, r, caller{organisation: organisation, targets: targets})
+		next(w, r, caller{organisation: organisation, targets: targets, version: current.Version})
 	}
 }
 
@@ -160,7 +161,15 @@
 
 // refuse answers a request that never became one.
 func (e *Entry) refuse(w http.ResponseWriter, err error) {
-	e.process.Recorder.Record(acaciaevent.Event{Kind: acaciaevent.RequestRefused, Code: codeOf(err), Detail: err.Error()})
+	id := newRequestID()
+	w.Header().Set(headerRequestID, id)
+	e.process.Recorder.Record(acaciaevent.Event{
+		Kind:      acaciaevent.RequestRefused,
+		RequestID: id,
+		Code:      codeOf(err),
+		Detail:    err.Error(),
+		Inputs:    &acaciaevent.Inputs{TargetsVersion: e.process.Keeper.Current().Version},
+	})
 	e.writeError(w, err)
 }
 
--- a/acaciaentry/serve.go
+++ b/acaciaentry/serve.go
@@ -10,6 +10,7 @@
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciapoison"
 	"github.com/acaciaroute/acaciaroute/acaciaprocess"
+	"github.com/acaciaroute/acaciaroute/acaciatoml"
 )
 
 // maxPlaces bounds how often a request that provably did not run looks for
@@ -18,7 +19,9 @@
 
 // serve answers a checked request.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *request) {
+	w.Header().Set(headerRequestID, req.id)
 	arrived := req.event(acaciaevent.RequestArrived)
+	arrived.Inputs.ListAge = e.listAge()
 	if req.safe() {
 		arrived.Detail = acaciaevent.DetailSafe
 	}
@@ -58,6 +61,7 @@
 		}
 		rl := newRelay(e, w, req, decision.Candidate.Address, decision.Grant)
 		rl.remote = decision.Candidate.Remote
+		rl.accepted(decision)
 		result := rl.run(r.Context())
 		e.link.Withdraw(decision.Candidate.Address, req.id)
 		e.settleLink(rl, decision)
@@ -67,6 +71,10 @@
 		}
 		if rl.mayRunAgain(result.Code) && attempt < maxPlaces && time.Since(req.arrived) < req.slack {
 			e.keyed.withdrawn(req.id)
+			e.recordRepeat(req, result, decision)
+			if result.Code != acaciaroute.CodeRefused || rl.barred {
+				req.avoid = append(req.avoid, decision.Candidate.ID)
+			}
 			broken = e.runAgain(broken, req, result, decision.Candidate.ID)
 			continue
 		}
@@ -116,8 +124,10 @@
 	event := req.event(kind)
 	event.Code = decision.Code
 	event.Count = int64(decision.Asked)
+	e.describe(&event, decision)
 	e.process.Recorder.Record(event)
 	e.tally.Add(req.class.Name, req.organisation, acaciaprocess.TallyShed, 1)
+	e.metrics.ended(req, decision.Code)
 	e.writeError(w, &acaciaroute.Error{
 		Code:       decision.Code,
 		Detail:     shedDetails[decision.Code],
@@ -126,10 +136,36 @@
 	return decision.Code
 }
 
+// describe adds what decided about a request's place.
+func (e *Entry) describe(event *acaciaevent.Event, decision acaciachoice.Decision) {
+	inputs := event.Inputs
+	inputs.ListAge = e.listAge()
+	inputs.Endpoints = decision.Endpoints
+	inputs.Asked = decision.Asked
+	inputs.Declined = decision.Declined
+	inputs.Silent = decision.Silent
+	inputs.RetryAfter = acaciaevent.Span(decision.RetryAfter)
+}
+
+// listAge returns how long ago the list of VMs was read.
+func (e *Entry) listAge() acaciatoml.Duration {
+	return acaciaevent.Since(e.process.Directory.ReadAt())
+}
+
+// recordRepeat tells why a request looks for another place.
+func (e *Entry) recordRepeat(req *request, result acaciaroute.Error, decision acaciachoice.Decision) {
+	event := req.event(acaciaevent.RequestRepeated)
+	event.Endpoint = decision.Candidate.ID
+	event.Code = result.Code
+	event.Detail = result.Detail
+	e.describe(&event, decision)
+	e.process.Recorder.Record(event)
+}
+
 var shedDetails = map[acaciaroute.Code]string{
 	acaciaroute.CodeShed:            "no endpoint can give the first token in time; the request did not run",
 	acaciaroute.CodeDeadlineTooNear: "no endpoint gave the request a place in time; the request did not run",
-	acaciaroute.CodeNoEndpoint:      "no endpoint serves the model or service now; the request did not run",
+	acaciaroute.CodeNoEndpoint:      "no endpoint that serves the model or service can be reached now; the request did not run",
 	acaciaroute.CodeCancelled:       "the caller went away; the request did not run",
 	acaciaroute.CodeRefused:         "the agents refused the request for good; it did not run",
 }
@@ -140,7 +176,15 @@
 	event.Code = result.Code
 	event.Detail = result.Detail
 	event.Count = rl.offset
-	event.Endpoint = rl.address
+	event.Endpoint = rl.endpoint()
+	event.Inputs.Attempts = rl.attempts
+	if !rl.first.IsZero() {
+		event.Inputs.FirstByte = acaciaevent.Span(rl.first.Sub(rl.req.arrived))
+	}
+	if result.Err != nil {
+		event.Detail += ": " + result.Err.Error()
+	}
+	e.metrics.ended(rl.req, result.Code)
 	switch result.Code {
 	case acaciaroute.CodeOK:
 		e.tally.Add(rl.req.class.Name, rl.req.organisation, acaciaprocess.TallyDone, 1)
--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -34,6 +34,9 @@
 	EndpointDied         Kind = 219
 	RequestIsolated      Kind = 220
 	ReservationLate      Kind = 221
+	EndpointSlowed       Kind = 222
+	EndpointRecovered    Kind = 223
+	RequestRepeated      Kind = 224
 
 	KeyClaimed   Kind = 301
 	KeyAttached  Kind = 302
@@ -58,6 +61,8 @@
 	VMGone      Kind = 512
 	VMKept      Kind = 513
 
+	AgentUnreached Kind = 514
+
 	LeaseTaken   Kind = 601
 	OrderIssued  Kind = 602
 	OrderDone    Kind = 603
@@ -96,6 +101,9 @@
 	EndpointDied:         "endpoint_died",
 	RequestIsolated:      "request_isolated",
 	ReservationLate:      "reservation_late",
+	EndpointSlowed:       "endpoint_slowed",
+	EndpointRecovered:    "endpoint_recovered",
+	RequestRepeated:      "request_repeated",
 
 	KeyClaimed:   "key_claimed",
 	KeyAttached:  "key_attached",
@@ -120,6 +128,8 @@
 	VMGone:      "vm_gone",
 	VMKept:      "vm_kept",
 
+	AgentUnreached: "agent_unreached",
+
 	LeaseTaken:   "lease_taken",
 	OrderIssued:  "order_issued",
 	OrderDone:    "order_done",
@@ -128,6 +138,27 @@
 	OrderRefused: "order_refused",
 }
 
+// failures are the kinds that tell of something that went wrong.
+var failures = map[Kind]bool{
+	RequestShed:          true,
+	AnswerCut:            true,
+	OutcomeUnknown:       true,
+	EngineFailed:         true,
+	EndpointDied:         true,
+	KeyUndecided:         true,
+	ConfigurationRefused: true,
+	LogDown:              true,
+	VMListDown:           true,
+	LogTrimmed:           true,
+	OrderFailed:          true,
+	OrderRefused:         true,
+}
+
+// Failure reports whether the kind tells of something that went wrong.
+func (k Kind) Failure() bool {
+	return failures[k]
+}
+
 // Kinds returns every known kind.
 func Kinds() []Kind {
 	kinds := make([]Kind, 0, len(kindNames))
--- a/acaciaevent/recorder.go
+++ b/acaciaevent/recorder.go
@@ -28,6 +28,7 @@
 		Version      acaciaroute.Offset `json:"version,omitempty"`
 		Count        int64              `json:"count,omitempty"`
 		Detail       string             `json:"detail,omitempty"`
+		Inputs       *Inputs            `json:"inputs,omitempty"`
 	}
 
 	// Recorder keeps a process's newest events and logs each of them.
@@ -45,8 +46,6 @@
 const (
 	// DefaultCapacity is how many events a process keeps.
 	DefaultCapacity = 20_000
-
-	verbose = 1
 )
 
 // NewRecorder returns an empty recorder that keeps capacity events.
@@ -59,21 +58,19 @@
 	return r.clock
 }
 
-// Record stamps an event, keeps it and logs it; events of requests are logged
-// at the verbose level.
+// Record stamps an event, keeps it and logs it; failures are logged as errors.
 func (r *Recorder) Record(event Event) {
 	event.Stamp = r.clock.Next()
 	event.Process = r.process
 	event.Name = event.Kind.String()
 	r.keep(event)
-	log := r.log
-	if event.Kind >= 200 && event.Kind < 400 {
-		log = log.V(verbose)
-	}
-	if !log.Enabled() {
+	if event.Kind.Failure() {
+		r.log.Error(nil, event.Name, "event", event)
 		return
 	}
-	log.Info(event.Name, "event", event)
+	if r.log.Enabled() {
+		r.log.Info(event.Name, "event", event)
+	}
 }
 
 // After returns the kept events with a stamp above after, oldest first.
--- a/acaciagrant/granter.go
+++ b/acaciagrant/granter.go
@@ -32,6 +32,8 @@
 		ticking  bool
 		// lastPrefilled is when the engine was last done with a prompt.
 		lastPrefilled time.Time
+		// straggling is what Settings.Straggled heard last.
+		straggling bool
 	}
 
 	// Settings fix what a granter cannot learn.
@@ -50,6 +52,9 @@
 		// TakeBack, if set, ends a request at the endpoint before its first token, so
 		// that it can run at another one, and then calls End.
 		TakeBack func(requestID string)
+		// Straggled, if set, hears when the endpoint becomes a straggler or recovers,
+		// and how many times slower than expected its tokens come.
+		Straggled func(straggling bool, slowdown float64)
 	}
 
 	// Notify tells the owner of a reservation about a change.
@@ -65,6 +70,8 @@
 	}
 
 	hold struct {
+		// waiter is the reservation that was granted.
+		waiter *waiter
 		item   *acaciaqueue.Item
 		notify Notify
 		grant  uint64
@@ -126,16 +133,15 @@
 	g.pause = 0
 }
 
-// Reserve queues a reservation and tells notify at once where it stands.
-func (g *Granter) Reserve(reservation acaciaroute.Reservation, notify Notify) {
-	if g.stopping {
-		notify(g.offer(reservation.RequestID, acaciaroute.OfferRefused, 0))
-		return
-	}
-	if _, ok := g.runs[reservation.RequestID]; ok {
+// Reserve queues a reservation and tells notify at once where it stands. A reservation
+// of the same request that came before, over a connection that has broken off, is
+// replaced. The function that it returns ends this reservation and no later one.
+func (g *Granter) Reserve(reservation acaciaroute.Reservation, notify Notify) (withdraw func()) {
+	if g.stopping || g.runs[reservation.RequestID] != nil {
 		notify(g.offer(reservation.RequestID, acaciaroute.OfferRefused, 0))
-		return
+		return func() {}
 	}
+	g.forget(reservation.RequestID)
 	item := g.queue.Add(reservation, g.loop.Now())
 	w := &waiter{item: item, notify: notify, cached: g.cache.Cached(reservation.Prefixes)}
 	g.waiters[reservation.RequestID] = w
@@ -144,17 +150,30 @@
 		g.sendOffer(w)
 	}
 	g.tickLater()
+	return func() {
+		h := g.held[reservation.RequestID]
+		if g.waiters[reservation.RequestID] == w || h != nil && h.waiter == w {
+			g.Withdraw(reservation.RequestID)
+		}
+	}
 }
 
-// Withdraw ends a reservation or gives back an unused grant.
+// Withdraw ends a request's reservation or gives back its unused grant.
 func (g *Granter) Withdraw(requestID string) {
-	if w, ok := g.waiters[requestID]; ok {
+	if g.waiters[requestID] != nil {
 		g.drain.add(g.loop.Now())
+	}
+	g.forget(requestID)
+	g.pump()
+}
+
+// forget drops a request's reservation and its unused grant.
+func (g *Granter) forget(requestID string) {
+	if g.waiters[requestID] != nil {
 		g.queue.Remove(requestID)
-		delete(g.waiters, w.item.RequestID)
+		delete(g.waiters, requestID)
 	}
 	g.release(requestID)
-	g.pump()
 }
 
 // Stop makes the granter refuse new work; what runs goes on.
--- a/acaciagrant/granter_test.go
+++ b/acaciagrant/granter_test.go
@@ -233,3 +233,36 @@
 	assert.Equal(t, b.last("third").Kind, acaciaroute.OfferGranted)
 	assert.Equal(t, b.last("alone").Kind, acaciaroute.OfferWaiting)
 }
+
+// A reservation may come again over a new connection before the agent has seen the end
+// of the old one.
+func TestEndOfAnOldReservationLeavesTheNewOne(t *testing.T) {
+	for name, free := range map[string]bool{"waiting": false, "granted": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(Settings{Plain: true, PlainLimit: 1})
+			b.reserve("runs", 1, 0, time.Minute)
+			_, ok := b.Begin("runs", b.last("runs").Grant)
+			assert.Assert(t, ok)
+			if free {
+				b.End("runs")
+			}
+			var old, renewed []acaciaroute.Offer
+			reservation := acaciaroute.Reservation{RequestID: "r", Class: "c", Rank: 1, Slack: time.Minute}
+			end := b.Reserve(reservation, func(offer acaciaroute.Offer) { old = append(old, offer) })
+			b.Reserve(reservation, func(offer acaciaroute.Offer) { renewed = append(renewed, offer) })
+			end()
+			b.End("runs")
+			assert.Equal(t, len(old), 1)
+			last := renewed[len(renewed)-1]
+			assert.Equal(t, last.Kind, acaciaroute.OfferGranted)
+			if free {
+				_, stale := b.Begin("r", old[0].Grant)
+				assert.Check(t, !stale, "a grant that was replaced was used")
+			}
+			_, ok = b.Begin("r", last.Grant)
+			assert.Check(t, ok)
+			b.End("r")
+			assert.Check(t, b.Idle())
+		})
+	}
+}
--- a/acaciagrant/offer.go
+++ b/acaciagrant/offer.go
@@ -83,6 +83,7 @@
 func (g *Granter) tick() {
 	g.ticking = false
 	g.watchSilence()
+	g.noteSpeed()
 	g.takeBack()
 	g.pump()
 	for _, w := range g.sortedWaiters() {
--- a/acaciagrant/room.go
+++ b/acaciagrant/room.go
@@ -145,7 +145,7 @@
 	delete(g.waiters, id)
 	g.drain.add(g.loop.Now())
 	g.grants++
-	h := &hold{item: item, notify: w.notify, grant: g.grants, cached: g.cache.Cached(item.Prefixes)}
+	h := &hold{waiter: w, item: item, notify: w.notify, grant: g.grants, cached: g.cache.Cached(item.Prefixes)}
 	h.timer = g.loop.After(g.settings.HoldTime, func() {
 		if g.held[id] == h {
 			g.release(id)
--- a/acaciagrant/run.go
+++ b/acaciagrant/run.go
@@ -63,6 +63,7 @@
 	}
 	r.tokens += tokens
 	r.lastToken = now
+	g.noteSpeed()
 	g.pump()
 }
 
--- a/acaciagrant/takeback.go
+++ b/acaciagrant/takeback.go
@@ -16,6 +16,18 @@
 	moveMargin = 2
 )
 
+// noteSpeed tells the owner when the endpoint becomes a straggler or recovers.
+func (g *Granter) noteSpeed() {
+	straggling := g.learner.Straggling()
+	if straggling == g.straggling {
+		return
+	}
+	g.straggling = straggling
+	if g.settings.Straggled != nil {
+		g.settings.Straggled(straggling, g.learner.Slowdown())
+	}
+}
+
 // takeBack has the owner end the repeatable requests whose first token a straggler
 // would bring much later than another endpoint.
 func (g *Granter) takeBack() {
--- a/acaciamembership/view.go
+++ b/acaciamembership/view.go
@@ -26,7 +26,6 @@
 		settledAt time.Time
 		// readAt is when the list was last read.
 		readAt time.Time
-		read   bool
 	}
 
 	// Change is what a reading changed.
@@ -55,11 +54,10 @@
 
 // Take notes a list that was read at a time and returns what it changes.
 func (v *View) Take(now time.Time, listed []acaciaroute.VM) Change {
-	if v.failing && v.read {
+	if v.failing && v.Read() {
 		v.settledAt = now.Add(ReturnGrace)
 	}
 	v.failing = false
-	v.read = true
 	v.readAt = now
 	var change Change
 	next := make(map[string]acaciaroute.VM, len(listed))
@@ -104,15 +102,12 @@
 
 // Read reports whether the list was read at least once.
 func (v *View) Read() bool {
-	return v.read
+	return !v.readAt.IsZero()
 }
 
-// Age returns the time since the list was last read; zero if it never was.
-func (v *View) Age(now time.Time) time.Duration {
-	if !v.read {
-		return 0
-	}
-	return now.Sub(v.readAt)
+// ReadAt returns when the list was last read; zero if it never was.
+func (v *View) ReadAt() time.Time {
+	return v.readAt
 }
 
 // Any reports whether the reading changed the VMs in force.
--- a/acaciaprocess/directory.go
+++ b/acaciaprocess/directory.go
@@ -66,11 +66,11 @@
 	return d.view.Read()
 }
 
-// Age returns the time since the list was last read; zero if it never was.
-func (d *Directory) Age() time.Duration {
+// ReadAt returns when the list was last read; zero if it never was.
+func (d *Directory) ReadAt() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.view.Age(time.Now())
+	return d.view.ReadAt()
 }
 
 func (d *Directory) follow(ctx context.Context) {
--- a/acaciaprocess/process.go
+++ b/acaciaprocess/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,7 @@
 		Weights acaciaroute.WeightStore
 
 		server   *Server
+		metrics  *Server
 		stopping atomic.Bool
 	}
 
@@ -44,6 +46,8 @@
 		VMList acaciaroute.VMList
 		// Weights may be nil.
 		Weights acaciaroute.WeightStore
+		// Metrics are the metrics of the client; nil for none.
+		Metrics prometheus.Collector
 	}
 
 	// Role is what entries and agents do differently at the peer server.
@@ -83,24 +87,54 @@
 		Weights:   platform.Weights,
 	}
 	p.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	p.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "acaciaroute_configuration_version",
-		Help: "Version of the targets in force.",
-	}, func() float64 { return float64(p.Keeper.Current().Version) }))
+	p.registerBeliefs()
+	if platform.Metrics != nil {
+		p.Registry.MustRegister(platform.Metrics)
+	}
 	return p
 }
 
+// registerBeliefs registers what the process believes of the outside, and since when.
+func (p *Process) registerBeliefs() {
+	gauge := func(name, help string, value func() float64) {
+		p.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("acaciaroute_configuration_version", "Version of the targets in force.",
+		func() float64 { return float64(p.Keeper.Current().Version) })
+	gauge("acaciaroute_configuration_age_seconds", "Time since the log was last read for targets; -1 if it never was.",
+		func() float64 { return ageSeconds(p.Keeper.ReadAt()) })
+	gauge("acaciaroute_vm_list_age_seconds", "Time since the list of VMs was last read; -1 if it never was.",
+		func() float64 { return ageSeconds(p.Directory.ReadAt()) })
+	gauge("acaciaroute_vms", "VMs that the process reckons with.",
+		func() float64 { return float64(len(p.Directory.VMs())) })
+}
+
+func ageSeconds(at time.Time) float64 {
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Seconds()
+}
+
 // Start begins to serve peers and to follow the platform.
 func (p *Process) Start(ctx context.Context, role Role) error {
 	mux := http.NewServeMux()
 	mux.Handle(acaciawire.NewPeerServiceHandler(&peerHandler{process: p, role: role}))
-	mux.Handle("/metrics", promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}))
+	metrics := promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{})
+	mux.Handle("/metrics", metrics)
 	role.Handle(mux)
 	server, err := NewPeerServer(ctx, p.Settings.Process.Address, mux)
 	if err != nil {
 		return err
 	}
 	p.server = server
+	if address := p.Settings.Process.Metrics; address != "" {
+		metricsMux := http.NewServeMux()
+		metricsMux.Handle("/metrics", metrics)
+		if p.metrics, err = NewServer(ctx, address, metricsMux); err != nil {
+			return errors.Join(err, server.Close(ctx))
+		}
+	}
 	p.Recorder.Record(acaciaevent.Event{Kind: acaciaevent.ProcessStarted, Detail: p.Role})
 	p.Directory.Start(ctx)
 	p.Keeper.Start(ctx)
@@ -123,6 +157,9 @@
 func (p *Process) Close(ctx context.Context) error {
 	p.BeginStop()
 	err := p.server.Close(ctx)
+	if p.metrics != nil {
+		err = errors.Join(err, p.metrics.Close(ctx))
+	}
 	p.Keeper.Close()
 	p.Directory.Close()
 	p.Recorder.Record(acaciaevent.Event{Kind: acaciaevent.ProcessStopped})
--- a/acaciasetting/settings.go
+++ b/acaciasetting/settings.go
@@ -28,8 +28,12 @@
 		// DataCentre and Region say where the VM stands.
 		DataCentre string `toml:"data_centre"`
 		Region     string `toml:"region"`
-		// Verbose turns on the log lines of single requests.
-		Verbose bool `toml:"verbose"`
+		// Metrics is where metrics are served besides Address, as IP:port; empty for
+		// nowhere else.
+		Metrics string `toml:"metrics"`
+		// LogLinesPerSecond bounds the log lines of each event in a second; ten times
+		// as many for failures.
+		LogLinesPerSecond int `toml:"log_lines_per_second"`
 		// DrainTime bounds a graceful stop.
 		DrainTime acaciatoml.Duration `toml:"drain_time"`
 	}
@@ -82,6 +86,7 @@
 	// KindPlain is an agent before a plain service.
 	KindPlain = "plain"
 
+	defaultLogLines     = 100
 	defaultMaxBodyBytes = 4 << 20
 	defaultBodyTimeout  = acaciatoml.Duration(20 * time.Second)
 	defaultDrainTime    = acaciatoml.Duration(2 * time.Minute)
@@ -130,6 +135,17 @@
 	if s.Process.DrainTime < 0 {
 		return document.Errorf("process.drain_time", "must be positive")
 	}
+	if s.Process.LogLinesPerSecond == 0 {
+		s.Process.LogLinesPerSecond = defaultLogLines
+	}
+	if s.Process.LogLinesPerSecond < 0 {
+		return document.Errorf("process.log_lines_per_second", "must be positive")
+	}
+	if s.Process.Metrics != "" {
+		if err := checkAddress(document, "process.metrics", s.Process.Metrics); err != nil {
+			return err
+		}
+	}
 	return checkAddress(document, "process.address", s.Process.Address)
 }
 
--- a/acaciasetting/settings_test.go
+++ b/acaciasetting/settings_test.go
@@ -26,6 +26,8 @@
 		"unknown key":   {`region = "ost"`, "region = \"ost\"\nzone = 1", "line 6: process.zone: unknown key"},
 		"missing key":   {"data_centre = \"ost-wien\"\n", "", "line 1: process.data_centre: key is missing"},
 		"host name":     {`address = "127.0.0.1:7000"`, `address = "localhost:7000"`, "line 3: process.address: must be IP:port"},
+		"bad metrics":   {`id = "entry-1"`, "id = \"entry-1\"\nmetrics = \"here\"", "line 3: process.metrics: must be IP:port"},
+		"bad log limit": {`id = "entry-1"`, "id = \"entry-1\"\nlog_lines_per_second = -1", "line 3: process.log_lines_per_second: must be positive"},
 		"bad URL":       {`log = "http://127.0.0.1:7001"`, `log = "127.0.0.1:7001"`, "line 8: platform.log"},
 		"two roles":     {"[entry]", "[agent]\nkind = \"model\"\nendpoint = \"http://127.0.0.1:1\"\n[entry]", "exactly one of the tables"},
 		"no role":       {"[entry]\nlisten = \"127.0.0.1:8000\"\n", "", "exactly one of the tables"},
--- a/acaciasystem/again_test.go
+++ b/acaciasystem/again_test.go
@@ -112,6 +112,10 @@
 				}
 				got := c.call(c.entries[0], http.MethodPost, "/v1/completions", modelBody(acaciastandin.Poison, 5), header)
 				t.Logf("%d %s, %d engines died", got.status, got.code, c.crashes())
+				if try == 0 && first == nil {
+					// The repeat once went back to the agent that had run it, which refused it.
+					assert.Equal(t, c.crashes(), mostDeaths, "the request did not run once more")
+				}
 				assert.Check(t, !strings.Contains(got.body, "[DONE]"), "a whole answer")
 				assert.Check(t, !strings.Contains(got.body, `"not_run":true`) || got.code == "2009", "%d %s %s", got.status, got.code, got.body)
 				time.Sleep(1500 * time.Millisecond)
--- a/cmd/acaciaroute/run.go
+++ b/cmd/acaciaroute/run.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -14,6 +15,7 @@
 	"github.com/acaciaroute/acaciaroute/acaciaagent"
 	"github.com/acaciaroute/acaciaroute/acaciaengine"
 	"github.com/acaciaroute/acaciaroute/acaciaentry"
+	"github.com/acaciaroute/acaciaroute/acacialog"
 	"github.com/acaciaroute/acaciaroute/acaciaprocess"
 	"github.com/acaciaroute/acaciaroute/acaciasetting"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
@@ -55,8 +57,9 @@
 	if settings.Entry == nil {
 		return acaciaroute.Errorf(acaciaroute.CodeBadSettings, "line 1: entry: table is missing")
 	}
-	process := newProcess(settings, acaciaroute.RoleEntry)
-	return runUntil(ctx, acaciaentry.New(context.Background(), process), settings)
+	lines := acacialog.NewWriter(os.Stdout, acacialog.DefaultBufferBytes)
+	process := newProcess(settings, acaciaroute.RoleEntry, newLogger(lines, settings))
+	return runUntil(ctx, acaciaentry.New(context.Background(), process), settings, lines)
 }
 
 func runAgent(ctx context.Context, c *cli.Command) error {
@@ -67,8 +70,9 @@
 	if settings.Agent == nil {
 		return acaciaroute.Errorf(acaciaroute.CodeBadSettings, "line 1: agent: table is missing")
 	}
-	process := newProcess(settings, acaciaroute.RoleEndpoint)
-	return runUntil(ctx, acaciaagent.New(process, newEndpoint(settings)), settings)
+	lines := acacialog.NewWriter(os.Stdout, acacialog.DefaultBufferBytes)
+	process := newProcess(settings, acaciaroute.RoleEndpoint, newLogger(lines, settings))
+	return runUntil(ctx, acaciaagent.New(process, newEndpoint(settings)), settings, lines)
 }
 
 func newEndpoint(settings acaciasetting.Settings) acaciaroute.Endpoint {
@@ -79,32 +83,38 @@
 	return acaciaengine.NewModel(settings.Agent.Endpoint, client)
 }
 
-func newProcess(settings acaciasetting.Settings, role string) *acaciaprocess.Process {
+func newProcess(settings acaciasetting.Settings, role string, log logr.Logger) *acaciaprocess.Process {
 	client := newPlatform(acaciaplatform.Settings{
 		Log:         settings.Platform.Log,
 		VMList:      settings.Platform.VMList,
 		WeightStore: settings.Platform.WeightStore,
 	})
-	platform := acaciaprocess.Platform{Log: client.Log(), VMList: client.VMList(), Weights: client.WeightStore()}
-	return acaciaprocess.New(context.Background(), settings, role, platform, newLogger(settings.Process.Verbose))
+	platform := acaciaprocess.Platform{Log: client.Log(), VMList: client.VMList(), Weights: client.WeightStore(), Metrics: client}
+	return acaciaprocess.New(context.Background(), settings, role, platform, log)
 }
 
+// flushTime bounds the writing of the last log lines at a stop.
+const flushTime = time.Second
+
 // newPlatform returns the client of the platform.
 func newPlatform(settings acaciaplatform.Settings) *acaciaplatform.Client {
 	return acaciaplatform.New(settings, http.DefaultTransport)
 }
 
-// newLogger writes structured lines to standard error.
-func newLogger(verbose bool) logr.Logger {
-	level := slog.LevelInfo
-	if verbose {
-		level = slog.LevelDebug
-	}
-	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+// newLogger returns a logger of bounded lines.
+func newLogger(lines *acacialog.Writer, settings acaciasetting.Settings) logr.Logger {
+	return logr.FromSlogHandler(acacialog.NewHandler(lines, acacialog.Settings{LinesPerSecond: settings.Process.LogLinesPerSecond}))
 }
 
 // runUntil runs a process until ctx ends, and then stops it gracefully.
-func runUntil(ctx context.Context, r runner, settings acaciasetting.Settings) error {
+func runUntil(ctx context.Context, r runner, settings acaciasetting.Settings, lines *acacialog.Writer) error {
+	// A reader that closes standard output must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	defer func() {
+		flushing, cancel := context.WithTimeout(context.Background(), flushTime)
+		defer cancel()
+		lines.Close(flushing)
+	}()
 	if err := r.Start(context.Background()); err != nil {
 		return err
 	}
--- a/request.go
+++ b/request.go
@@ -32,6 +32,9 @@
 		Repeatable bool
 		// Remote tells that the entry stands in another region.
 		Remote bool
+		// Avoid names the endpoints that will not run the request again. It stays at the
+		// entry.
+		Avoid []string
 	}
 
 	// OfferKind is what an agent says about a reservation.
@@ -45,6 +48,9 @@
 		Kind      OfferKind
 		// Grant numbers the grant at its agent.
 		Grant uint64
+		// Unreached tells that the agent could not be reached, so that it has refused
+		// nothing.
+		Unreached bool
 		// TooLate tells of a refusal that the first token would come too late even
 		// if the place were granted now.
 		TooLate bool
