Lead from a failed request's ID to its cause, and test the way

An agent that calls a reservation hopeless now says so, with the expected time (reservation_hopeless): without it the refusal of case 1 could not be explained from the logs.

One change for callers: a model's answer begins with its first token. Before, the head went out at once, and a death during prefill was told by a broken connection ("EOF") where there is now 3001 with its ID.

--- a/acaciaagent/reserve.go
+++ b/acaciaagent/reserve.go
@@ -76,12 +76,15 @@
 func (h *handler) offered(reservation acaciaroute.Reservation, offer acaciaroute.Offer, granted bool, began time.Time) {
 	inputs := h.inputs(reservation, began, offer.Hint)
 	inputs.ExpectedWait = acaciaevent.Span(offer.Wait)
+	inputs.ExpectedFirst = acaciaevent.Span(offer.First)
 	switch {
 	case offer.Kind == acaciaroute.OfferGranted:
 		h.agent.metrics.grants.WithLabelValues(reservation.Class).Inc()
 		h.record(acaciaevent.GrantGiven, reservation, inputs)
 	case granted:
 		h.record(acaciaevent.GrantExpired, reservation, inputs)
+	case offer.Kind == acaciaroute.OfferHopeless:
+		h.record(acaciaevent.ReservationHopeless, reservation, inputs)
 	case offer.TooLate:
 		h.record(acaciaevent.ReservationLate, reservation, inputs)
 	}
--- a/acaciaentry/caller.go
+++ b/acaciaentry/caller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciatarget"
 	"github.com/acaciaroute/acaciaroute/acaciawire"
 )
 
@@ -17,10 +18,10 @@
 const writeTimeout = time.Minute
 
 // mayStart reports whether the answer's head may go to the caller with a chunk. That
-// of a repeatable request waits for the first token, so that the request can still
-// run elsewhere.
+// of a model's answer waits for the first token: until then a repeatable request can
+// still run elsewhere, and any failure is told by its code and not by a broken stream.
 func (r *relay) mayStart(chunk *acaciawire.Chunk) bool {
-	if !r.req.repeatable() || len(chunk.Data) > 0 {
+	if r.req.service.Kind != acaciatarget.KindModel || len(chunk.Data) > 0 {
 		return true
 	}
 	return chunk.Final && acaciaroute.Code(chunk.Code) == acaciaroute.CodeOK
--- a/acaciaevent/inputs.go
+++ b/acaciaevent/inputs.go
@@ -1,6 +1,7 @@
 package acaciaevent
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
@@ -43,6 +44,8 @@
 		Free    int `json:"free,omitempty"`
 		// ExpectedWait is the expected time until a place.
 		ExpectedWait acaciatoml.Duration `json:"expected_wait,omitempty"`
+		// ExpectedFirst is the expected time from a place to the first token.
+		ExpectedFirst acaciatoml.Duration `json:"expected_first,omitempty"`
 		// TokenGap is the present time between tokens, and Slowdown how many times
 		// longer it is than the endpoint's own.
 		TokenGap acaciatoml.Duration `json:"token_gap,omitempty"`
@@ -50,6 +53,15 @@
 	}
 )
 
+// String returns the inputs that had a part in the event, as JSON.
+func (i *Inputs) String() string {
+	data, err := json.Marshal(i)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
 // Since returns the time since a moment, to the microsecond.
 func Since(at time.Time) acaciatoml.Duration {
 	return Span(time.Since(at))
--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -37,6 +37,7 @@
 	EndpointSlowed       Kind = 222
 	EndpointRecovered    Kind = 223
 	RequestRepeated      Kind = 224
+	ReservationHopeless  Kind = 225
 
 	KeyClaimed   Kind = 301
 	KeyAttached  Kind = 302
@@ -104,6 +105,7 @@
 	EndpointSlowed:       "endpoint_slowed",
 	EndpointRecovered:    "endpoint_recovered",
 	RequestRepeated:      "request_repeated",
+	ReservationHopeless:  "reservation_hopeless",
 
 	KeyClaimed:   "key_claimed",
 	KeyAttached:  "key_attached",
--- a/acaciagrant/offer.go
+++ b/acaciagrant/offer.go
@@ -28,8 +28,9 @@
 // sendOffer sends a waiter its present position if the kind of offer has changed.
 func (g *Granter) sendOffer(w *waiter) {
 	wait := g.expectedWait(w.item)
+	first := g.firstAfterGrant(w.item)
 	kind := acaciaroute.OfferWaiting
-	if g.hopeless(w, wait) {
+	if g.hopeless(w, wait+first) {
 		kind = acaciaroute.OfferHopeless
 	}
 	straggling := g.learner.Straggling()
@@ -40,20 +41,26 @@
 	w.straggling = straggling
 	offer := g.offer(w.item.RequestID, kind, wait)
 	offer.CachedTokens = w.cached
+	offer.First = first
 	w.notify(offer)
 }
 
-// hopeless reports whether a place would come too late although no lower class
-// waits here.
-func (g *Granter) hopeless(w *waiter, wait time.Duration) bool {
+// hopeless reports whether a first token after a time would be too late although no
+// lower class waits here.
+func (g *Granter) hopeless(w *waiter, first time.Duration) bool {
 	if g.queue.LowerWaiting(w.item.Rank) {
 		return false
 	}
-	var first time.Duration
-	if !g.settings.Plain {
-		first = g.firstTokenTime(w.item)
+	return g.loop.Now().Add(first).After(w.item.Deadline)
+}
+
+// firstAfterGrant returns the expected time from a grant to the first token; plain
+// services have none.
+func (g *Granter) firstAfterGrant(item *acaciaqueue.Item) time.Duration {
+	if g.settings.Plain {
+		return 0
 	}
-	return g.loop.Now().Add(wait + first).After(w.item.Deadline)
+	return g.firstTokenTime(item)
 }
 
 func (g *Granter) expectedWait(item *acaciaqueue.Item) time.Duration {
--- a/acaciagrant/room.go
+++ b/acaciagrant/room.go
@@ -82,6 +82,7 @@
 	delete(g.waiters, id)
 	offer := g.offer(id, acaciaroute.OfferRefused, g.drain.wait(g.loop.Now(), g.queue.Len()))
 	offer.TooLate = true
+	offer.First = g.firstTokenTime(item)
 	w.notify(offer)
 }
 
--- a/acaciasystem/call_test.go
+++ b/acaciasystem/call_test.go
@@ -13,6 +13,7 @@
 	status int
 	code   string
 	retry  string
+	id     string
 	body   string
 	err    error
 }
@@ -37,6 +38,7 @@
 		status: response.StatusCode,
 		code:   response.Header.Get("Acacia-Code"),
 		retry:  response.Header.Get("Retry-After"),
+		id:     response.Header.Get("X-Request-Id"),
 		body:   string(data),
 		err:    err,
 	}
--- a/acaciasystem/cluster_test.go
+++ b/acaciasystem/cluster_test.go
@@ -38,6 +38,9 @@
 		engines  []*node
 		plains   []*node
 		client   *http.Client
+		// stdout is where the standard output of a VM's process goes, by the VM's ID, if
+		// not to its log file.
+		stdout map[string]*os.File
 		// stopAt names the event at which the process of a VM stops, by the VM's ID.
 		stopAt map[string]string
 	}
@@ -143,8 +146,22 @@
 // newStoppingCluster starts a system of which some processes stop at an event.
 func newStoppingCluster(t *testing.T, entries, engines, plains int, stopAt map[string]string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 2 * time.Minute}, stopAt: stopAt}
-	c.platform = freeAddress(t)
+	c := prepareCluster(t)
+	c.stopAt = stopAt
+	c.start(entries, engines, plains)
+	return c
+}
+
+// prepareCluster returns a system of which nothing runs.
+func prepareCluster(t *testing.T) *cluster {
+	t.Helper()
+	return &cluster{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 2 * time.Minute}, platform: freeAddress(t)}
+}
+
+// start starts a system and waits until every entry is ready.
+func (c *cluster) start(entries, engines, plains int) {
+	t := c.t
+	t.Helper()
 	c.startProgram("platform", "acaciastandin", "platform", "--listen", c.platform)
 	waitFor(t, func() bool { return c.reachable("http://" + c.platform + "/vms") })
 	for i := range engines {
@@ -168,7 +185,6 @@
 	})
 	c.awaitStatus(func(reply *acaciawire.StatusReply) bool { return reply.ConfigurationVersion > 0 })
 	time.Sleep(time.Until(started.Add(minKeyedUptime)))
-	return c
 }
 
 func (c *cluster) addEntry(index int) *node {
@@ -250,6 +266,9 @@
 	assert.NilError(c.t, err)
 	command.Stderr = log
 	command.Stdout = log
+	if file := c.stdout[name]; file != nil {
+		command.Stdout = file
+	}
 	assert.NilError(c.t, command.Start())
 	c.t.Cleanup(func() {
 		_ = command.Process.Signal(syscall.SIGCONT)
--- a/acaciatimeline/timeline.go
+++ b/acaciatimeline/timeline.go
@@ -19,6 +19,10 @@
 		RequestID string
 		From      time.Time
 		To        time.Time
+		// Context adds to the events of RequestID those of no request, such as changes
+		// of an endpoint's speed, from contextBefore before its first one to
+		// contextAfter after its last.
+		Context bool
 	}
 
 	// page is what the template of the page gets.
@@ -46,10 +50,18 @@
 
 var pageTemplate = template.Must(template.ParseFS(files, "page.html"))
 
-const maxRows = 400
+const (
+	maxRows = 400
+
+	contextBefore = 5 * time.Second
+	contextAfter  = time.Second
+)
 
 // Merge returns the chosen events in order, each once.
 func Merge(events []acaciaevent.Event, window Window) []acaciaevent.Event {
+	if window.Context && window.RequestID != "" {
+		window = window.around(events)
+	}
 	chosen := slices.DeleteFunc(slices.Clone(events), func(e acaciaevent.Event) bool { return !window.holds(e) })
 	slices.SortFunc(chosen, func(a, b acaciaevent.Event) int {
 		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), cmp.Compare(a.Process, b.Process), cmp.Compare(a.Kind, b.Kind))
@@ -77,9 +89,28 @@
 	return pageTemplate.Execute(w, page{Requests: rows(events), Events: events})
 }
 
+// around narrows the window to the time of its request.
+func (w Window) around(events []acaciaevent.Event) Window {
+	var from, to time.Time
+	for _, e := range events {
+		at := e.Stamp.Time()
+		if e.RequestID != w.RequestID {
+			continue
+		}
+		if from.IsZero() || at.Before(from) {
+			from = at
+		}
+		if at.After(to) {
+			to = at
+		}
+	}
+	w.From, w.To = from.Add(-contextBefore), to.Add(contextAfter)
+	return w
+}
+
 func (w Window) holds(e acaciaevent.Event) bool {
 	at := e.Stamp.Time()
-	return (w.RequestID == "" || e.RequestID == w.RequestID) &&
+	return (w.RequestID == "" || e.RequestID == w.RequestID || w.Context && e.RequestID == "") &&
 		(w.From.IsZero() || !at.Before(w.From)) &&
 		(w.To.IsZero() || !at.After(w.To))
 }
@@ -99,6 +130,9 @@
 	if e.Count != 0 {
 		text = fmt.Sprintf("count %d %s", e.Count, text)
 	}
+	if e.Inputs != nil {
+		text += " " + e.Inputs.String()
+	}
 	return text
 }
 
--- a/cmd/acaciaroute/timeline.go
+++ b/cmd/acaciaroute/timeline.go
@@ -29,6 +29,7 @@
 			&cli.StringFlag{Name: "vm-list", Usage: "URL of the platform's VM list: ask every process"},
 			&cli.StringSliceFlag{Name: "file", Usage: "log file of a process, may be repeated"},
 			&cli.StringFlag{Name: "request", Usage: "only events of this request"},
+			&cli.BoolFlag{Name: "context", Usage: "with --request: also what happened around it to processes, endpoints and the platform"},
 			&cli.TimestampFlag{Name: "from", Usage: "only events from this time on", Config: cli.TimestampConfig{Layouts: []string{time.RFC3339}}},
 			&cli.TimestampFlag{Name: "to", Usage: "only events up to this time", Config: cli.TimestampConfig{Layouts: []string{time.RFC3339}}},
 			&cli.StringFlag{Name: "html", Usage: "write a self-contained page to this file"},
@@ -53,7 +54,12 @@
 		}
 		events = append(events, asked...)
 	}
-	window := acaciatimeline.Window{RequestID: c.String("request"), From: c.Timestamp("from"), To: c.Timestamp("to")}
+	window := acaciatimeline.Window{
+		RequestID: c.String("request"),
+		From:      c.Timestamp("from"),
+		To:        c.Timestamp("to"),
+		Context:   c.Bool("context"),
+	}
 	merged := acaciatimeline.Merge(events, window)
 	if path := c.String("html"); path != "" {
 		file, err := os.Create(path)
--- a/request.go
+++ b/request.go
@@ -56,6 +56,9 @@
 		TooLate bool
 		// Wait is the expected time until a grant.
 		Wait time.Duration
+		// First is the expected time from a grant to the first token, where it decided.
+		// It stays at the agent.
+		First time.Duration
 		// CachedTokens is how much of the prompt the agent expects to be cached.
 		CachedTokens int
 		// Hint is the agent's present state, for choosing whom to ask.
