Send refused callers back one after the other, at their class's rate

Cause: Retry-After was the least wait that the agents named. In a crest it sends all refused callers back into the crest.

Change: a book gives each refused caller a time of its own, at the rate at which the class gets places, in the order of the refusals, up to three times the request's slack. The old rule stays as a baseline of the same interface.

--- a/acaciachoice/chooser.go
+++ b/acaciachoice/chooser.go
@@ -22,6 +22,7 @@
 		hints     map[string]hintRecord
 		memory    *acaciaprefix.Memory
 		budget    *linkBudget
+		returns   Returns
 		requests  map[string]*request
 	}
 
@@ -59,15 +60,8 @@
 	}
 )
 
-const (
-	minRetryAfter = time.Second
-	maxRetryAfter = 2 * time.Minute
-	// retrySpread is the random share that is added to a retry time, so that
-	// callers who were refused together do not return together.
-	retrySpread = 0.25
-	// memoryPrefixes is how many prefixes an entry remembers.
-	memoryPrefixes = 50_000
-)
+// memoryPrefixes is how many prefixes an entry remembers.
+const memoryPrefixes = 50_000
 
 // New returns a chooser without endpoints.
 func New(loop acaciaroute.Loop, policy acaciaroute.Policy, link acaciaroute.AgentLink, region string, random *rand.Rand) *Chooser {
@@ -80,6 +74,7 @@
 		hints:    map[string]hintRecord{},
 		memory:   acaciaprefix.NewMemory(memoryPrefixes),
 		budget:   newLinkBudget(),
+		returns:  NewReturnBook(random),
 		requests: map[string]*request{},
 	}
 }
@@ -144,6 +139,11 @@
 	c.budget.settle(c.loop.Now(), class, taken, used)
 }
 
+// SetReturns replaces the rule for when refused callers come back.
+func (c *Chooser) SetReturns(returns Returns) {
+	c.returns = returns
+}
+
 // Hint notes an agent's state that arrived with any message.
 func (c *Chooser) Hint(id string, hint acaciaroute.Hint) {
 	c.hints[id] = hintRecord{hint: hint, at: c.loop.Now()}
@@ -189,8 +189,3 @@
 	}
 	return reservation.Model == "" || slices.Contains(e.Models, reservation.Model)
 }
-
-func (c *Chooser) retryAfter(wait time.Duration) time.Duration {
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
-	return wait + time.Duration(c.random.Float64()*retrySpread*float64(wait))
-}
--- a/acaciachoice/request.go
+++ b/acaciachoice/request.go
@@ -153,6 +153,7 @@
 
 func (r *request) accept(candidate acaciaroute.Candidate) {
 	r.finish(candidate.ID)
+	r.chooser.returns.Granted(r.chooser.loop.Now(), r.reservation.Class)
 	r.chooser.memory.Add(r.reservation.Prefixes, candidate.ID)
 	decision := r.decision(acaciaroute.CodeOK)
 	decision.Candidate = candidate
@@ -215,7 +216,8 @@
 	}
 	r.finish("")
 	decision := r.decision(code)
-	decision.RetryAfter = r.chooser.retryAfter(wait)
+	refusal := Refusal{Class: r.reservation.Class, Slack: r.reservation.Slack, Wait: wait}
+	decision.RetryAfter = r.chooser.returns.After(r.chooser.loop.Now(), refusal)
 	r.done(decision)
 }
 
--- a/acaciaexperiment/scenario.go
+++ b/acaciaexperiment/scenario.go
@@ -20,6 +20,8 @@
 		Disturb func(w *world)
 		// Length is how long requests arrive; zero stands for the usual Length.
 		Length time.Duration
+		// Returns, if set, is the rule for refused callers, who then come back.
+		Returns func(random *rand.Rand) acaciachoice.Returns
 	}
 
 	// Contender is a policy as it takes part in a comparison.
@@ -99,11 +101,19 @@
 	for _, e := range w.order {
 		e.open = contender.Open
 	}
+	settle := settleTime
+	if scenario.Returns != nil {
+		w.returning = true
+		settle = returnTime
+		for _, e := range w.entries {
+			e.chooser.SetReturns(scenario.Returns(w.random))
+		}
+	}
 	scenario.Disturb(w)
 	length := cmp.Or(scenario.Length, Length)
 	rate := func(at time.Duration) float64 { return scenario.Rate(at) * workload.Capacity }
 	w.offer(workload.Trace(rand.New(rand.NewPCG(seed, 1)), length, rate), submit)
-	w.loop.Run(epoch.Add(length + settleTime))
+	w.loop.Run(epoch.Add(length + settle))
 	return Run{
 		Workload:  workload,
 		Scenario:  scenario.Name,
--- a/acaciaexperiment/world.go
+++ b/acaciaexperiment/world.go
@@ -27,6 +27,8 @@
 		endpoints map[string]*endpoint
 		order     []*endpoint
 		results   []*Result
+		// returning tells that callers come back when they are told to.
+		returning bool
 		// watch, if set, sees every token and the end of every run.
 		watch func(r *Result, first, last bool)
 	}
@@ -72,6 +74,10 @@
 		Avoidable int
 		Endpoint  string
 		Done      bool
+		// Called is when the caller first asked, and Tries how often it has, this
+		// request included.
+		Called time.Duration
+		Tries  int
 		// settle gives back what a request to another region has not used of the
 		// link.
 		settle func()
@@ -175,7 +181,7 @@
 // offer plays a trace.
 func (w *world) offer(arrivals []Arrival, submit func(*Result)) {
 	for _, arrival := range arrivals {
-		result := &Result{Arrival: arrival}
+		result := &Result{Arrival: arrival, Called: arrival.At, Tries: 1}
 		w.results = append(w.results, result)
 		w.loop.After(arrival.At, func() {
 			w.record(acaciaevent.RequestArrived, result, "")
@@ -242,6 +248,7 @@
 		r.Code = d.Code
 		r.Ended = w.since()
 		w.recordShed(r, d.Asked)
+		w.comeBack(r, d.RetryAfter)
 		return
 	}
 	to := w.endpoints[d.Candidate.Address]
