Close a stopping entry's connections with their next answer

Cause: an entry that stops tells the balancer for 2 s and then shuts down, which closes idle connections at once.

Ruled out: cut requests in flight (those were finished), the agents.

Change: while it stops, an entry answers with "Connection: close".

--- a/acaciaentry/routes.go
+++ b/acaciaentry/routes.go
@@ -41,7 +41,18 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		e.refuse(w, acaciaroute.Errorf(acaciaroute.CodeUnknownService, "nothing is served at %s %s", r.Method, r.URL.Path))
 	})
-	return mux
+	return e.closing(mux)
+}
+
+// closing has a stopping entry close its connections after their next answer, so that
+// none is closed while its caller sends the next request.
+func (e *Entry) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.process.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/acaciaprocess/directory_test.go
+++ b/acaciaprocess/directory_test.go
@@ -37,6 +37,7 @@
 		assert.Equal(t, len(directory.VMs()), 2)
 		list.Set(returning)
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		assert.DeepEqual(t, directory.VMs(), []acaciaroute.VM{returning})
 		assert.DeepEqual(t, counts, []int{2, 1})
 	})
--- a/acaciasystem/call_test.go
+++ b/acaciasystem/call_test.go
@@ -14,8 +14,10 @@
 	code   string
 	retry  string
 	id     string
-	body   string
-	err    error
+	// closing tells that the entry closes the connection after its answer.
+	closing bool
+	body    string
+	err     error
 }
 
 // call sends one request to an entry.
@@ -39,8 +41,10 @@
 		code:   response.Header.Get("Acacia-Code"),
 		retry:  response.Header.Get("Retry-After"),
 		id:     response.Header.Get("X-Request-Id"),
-		body:   string(data),
-		err:    err,
+
+		closing: response.Close,
+		body:    string(data),
+		err:     err,
 	}
 }
 
--- a/acaciasystem/stop_test.go
+++ b/acaciasystem/stop_test.go
@@ -191,3 +191,38 @@
 	}
 	checkEvents(t, c.events())
 }
+
+// Callers keep using their open connections until the entry closes them with an answer;
+// new ones would go elsewhere by the balancer.
+func TestStopOfAnEntryBreaksNoOpenConnection(t *testing.T) {
+	t.Parallel()
+	const callers = 40
+	c := newCluster(t, 1, 0, 2)
+	entry := c.entries[0]
+	failed := make(chan error, callers)
+	begun := make(chan struct{}, callers)
+	for caller := range callers {
+		go func() {
+			own := *c
+			own.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: time.Minute}
+			for i := 0; ; i++ {
+				got := own.call(entry, http.MethodPost, "/services/archiv/file?delay=1ms", fmt.Sprint("drawing ", caller, i), nil)
+				if got.err != nil || got.closing {
+					failed <- got.err
+					return
+				}
+				if i == 0 {
+					begun <- struct{}{}
+				}
+				time.Sleep(time.Duration(caller%7) * time.Millisecond)
+			}
+		}()
+	}
+	for range callers {
+		<-begun
+	}
+	stop(t, entry.process)
+	for range callers {
+		assert.Check(t, <-failed)
+	}
+}
