--- a/acaciasystem/cluster_test.go
+++ b/acaciasystem/cluster_test.go
@@ -309,9 +309,15 @@
 // tool runs an operator's command and returns what it prints.
 func (c *cluster) tool(arguments ...string) string {
 	c.t.Helper()
+	output, err := c.run(arguments...)
+	assert.NilError(c.t, err, output)
+	return output
+}
+
+// run runs an operator's command, which may fail.
+func (c *cluster) run(arguments ...string) (string, error) {
 	output, err := exec.Command(filepath.Join(binaries, "acaciaroute"), arguments...).CombinedOutput()
-	assert.NilError(c.t, err, string(output))
-	return string(output)
+	return string(output), err
 }
 
 func (c *cluster) nodes() []*node {
--- a/acaciasystem/fault_test.go
+++ b/acaciasystem/fault_test.go
@@ -3,18 +3,14 @@
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
-	"github.com/acaciaroute/acaciaroute/acaciastandin"
 )
 
 func TestAnswerGoesOnAfterACutBetweenEntryAndAgent(t *testing.T) {
@@ -125,147 +121,6 @@
 	assert.Equal(t, len(c.runs(c.engines)), 2)
 }
 
-// chaos disturbs a cluster at random until it is told to stop.
-type chaos struct {
-	cluster *cluster
-	random  *rand.Rand
-	proxies []*proxy
-	faults  map[string]int
-}
-
-func (x *chaos) once() {
-	c := x.cluster
-	pause := time.Duration(200+x.random.IntN(1500)) * time.Millisecond
-	agents := append(append([]*node(nil), c.engines...), c.plains...)
-	agent := agents[x.random.IntN(len(agents))]
-	entry := c.entries[x.random.IntN(len(c.entries))]
-	switch x.random.IntN(7) {
-	case 0:
-		x.faults["freeze agent"]++
-		agent.signal(c.t, syscall.SIGSTOP)
-		time.Sleep(pause)
-		agent.signal(c.t, syscall.SIGCONT)
-	case 1:
-		x.faults["kill agent"]++
-		kill(c.t, agent.process)
-		time.Sleep(pause)
-		c.startNode(agent)
-	case 2:
-		x.faults["kill entry"]++
-		kill(c.t, entry.process)
-		c.startNode(entry)
-	case 3:
-		x.faults["freeze entry"]++
-		entry.signal(c.t, syscall.SIGSTOP)
-		time.Sleep(pause)
-		entry.signal(c.t, syscall.SIGCONT)
-	case 4:
-		x.faults["log down"]++
-		c.fault(c.platform, `{"down":true}`)
-		time.Sleep(pause)
-		c.fault(c.platform, `{}`)
-	case 5:
-		x.faults["log loses answers"]++
-		c.fault(c.platform, `{"lose_answers":true}`)
-		time.Sleep(pause)
-		c.fault(c.platform, `{}`)
-	default:
-		x.faults["cut"]++
-		p := x.proxies[x.random.IntN(len(x.proxies))]
-		p.hold(direction(x.random.IntN(2)))
-		time.Sleep(pause / 2)
-		p.cut()
-		p.release()
-	}
-}
-
-// fate is what callers were told of one key.
-type fate struct {
-	body     string
-	answered bool
-	notRun   bool
-	codes    []string
-}
-
-// TestRandomFaultsLoseAndDoubleNothing lets callers repeat their keys through
-// other entries while processes die and freeze, links break and the log fails.
-func TestRandomFaultsLoseAndDoubleNothing(t *testing.T) {
-	t.Parallel()
-	const (
-		callers = 10
-		length  = 25 * time.Second
-		tries   = 6
-	)
-	c := newCluster(t, 3, 2, 2)
-	x := &chaos{cluster: c, random: rand.New(rand.NewPCG(7, 7)), faults: map[string]int{}}
-	for _, n := range append(append([]*node(nil), c.engines...), c.plains...) {
-		x.proxies = append(x.proxies, c.interpose(n))
-	}
-	time.Sleep(time.Second)
-	end := time.Now().Add(length)
-	var mu sync.Mutex
-	var fates []fate
-	var group sync.WaitGroup
-	for caller := range callers {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			for i := 0; time.Now().Before(end); i++ {
-				f := c.persist(caller, i, tries)
-				mu.Lock()
-				fates = append(fates, f)
-				mu.Unlock()
-			}
-		}()
-	}
-	for time.Now().Before(end) {
-		x.once()
-		time.Sleep(300 * time.Millisecond)
-	}
-	group.Wait()
-	answered, unknown := 0, 0
-	runs := c.runs(c.plains)
-	for _, f := range fates {
-		assert.Check(t, runs[f.body] <= 1, "%s ran %d times: %v", f.body, runs[f.body], f.codes)
-		switch {
-		case f.answered:
-			answered++
-			assert.Check(t, runs[f.body] == 1, "%s was answered but ran %d times: %v", f.body, runs[f.body], f.codes)
-		case f.notRun:
-			assert.Check(t, runs[f.body] == 0, "%s was told as not run but ran: %v", f.body, f.codes)
-		default:
-			unknown++
-		}
-	}
-	t.Logf("faults %v; %d keys, %d answered, %d unknown", x.faults, len(fates), answered, unknown)
-	assert.Check(t, answered > len(fates)/2)
-	checkEvents(t, c.events())
-}
-
-// persist sends one key until it is answered or the tries are used up, each time
-// through the next entry.
-func (c *cluster) persist(caller, index, tries int) fate {
-	f := fate{body: fmt.Sprintf("booking %d of caller %d", index, caller), notRun: true}
-	path := "/file?delay=50ms"
-	for try := range tries {
-		entry := c.entries[(caller+index+try)%len(c.entries)]
-		got := c.call(entry, http.MethodPost, "/services/archiv"+path, f.body, key(f.body))
-		f.codes = append(f.codes, fmt.Sprintf("%d/%s", got.status, got.code))
-		if got.err == nil && got.status == http.StatusOK {
-			f.answered = got.body == acaciastandin.PlainAnswer(http.MethodPost, path, f.body, 100)
-			if !f.answered {
-				f.codes = append(f.codes, "wrong answer")
-			}
-			return f
-		}
-		if got.err != nil || !strings.HasPrefix(got.code, "2") {
-			f.notRun = false
-		}
-		time.Sleep(500 * time.Millisecond)
-	}
-	return f
-}
-
 // Streams that bring nothing for longer than peers are patient carry signs of life: the
 // first calls are quiet while they run, the last one while it waits for a place.
 func TestQuietStreamsAreNotGivenUp(t *testing.T) {
