--- a/acaciasystem/soak_test.go
+++ b/acaciasystem/soak_test.go
@@ -205,6 +205,17 @@
 	}
 }
 
+// TestSeedsThatOnceFailed plays regressionSeeds.
+func TestSeedsThatOnceFailed(t *testing.T) {
+	t.Parallel()
+	for seed, cause := range regressionSeeds {
+		t.Run(fmt.Sprintf("seed %d: %s", seed, cause), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, seed)
+		})
+	}
+}
+
 func runSoak(t *testing.T, seed uint64) {
 	c := prepareCluster(t)
 	if *soakKeep != "" {
