--- a/acaciasetting/settings.go
+++ b/acaciasetting/settings.go
@@ -103,141 +103,128 @@
 	return Parse(data)
 }
 
-// Parse reads and checks settings; errors have CodeBadSettings.
+// Parse reads and checks settings; an error has CodeBadSettings and names all mistakes.
 func Parse(data []byte) (Settings, error) {
 	settings := Settings{}
 	document, err := acaciatoml.Decode(acaciaroute.CodeBadSettings, data, &settings)
 	if err != nil {
 		return Settings{}, err
 	}
-	checks := []func(*acaciatoml.Document) error{
-		settings.checkProcess,
-		settings.checkPlatform,
-		settings.checkRole,
-		settings.checkEntry,
-		settings.checkAgent,
-	}
-	for _, check := range checks {
-		if err := check(document); err != nil {
-			return Settings{}, err
-		}
+	settings.checkProcess(document)
+	settings.checkPlatform(document)
+	settings.checkRole(document)
+	settings.checkEntry(document)
+	settings.checkAgent(document)
+	if err := document.Err(); err != nil {
+		return Settings{}, err
 	}
 	return settings, nil
 }
 
-func (s *Settings) checkProcess(document *acaciatoml.Document) error {
-	if err := document.Require("process", "id", "address", "data_centre", "region"); err != nil {
-		return err
-	}
+func (s *Settings) checkProcess(document *acaciatoml.Document) {
+	if !document.Require("process", "id", "address", "data_centre", "region") {
+		return
+		}
 	if s.Process.DrainTime == 0 {
 		s.Process.DrainTime = defaultDrainTime
 	}
 	if s.Process.DrainTime < 0 {
-		return document.Errorf("process.drain_time", "must be positive")
+		document.Add("process.drain_time", "must be positive")
 	}
 	if s.Process.LogLinesPerSecond == 0 {
 		s.Process.LogLinesPerSecond = defaultLogLines
 	}
 	if s.Process.LogLinesPerSecond < 0 {
-		return document.Errorf("process.log_lines_per_second", "must be positive")
+		document.Add("process.log_lines_per_second", "must be positive")
 	}
 	if s.Process.Metrics != "" {
-		if err := checkAddress(document, "process.metrics", s.Process.Metrics); err != nil {
-			return err
-		}
+		checkAddress(document, "process.metrics", s.Process.Metrics)
 	}
-	return checkAddress(document, "process.address", s.Process.Address)
+	checkAddress(document, "process.address", s.Process.Address)
 }
 
-func (s *Settings) checkPlatform(document *acaciatoml.Document) error {
-	if err := document.Require("platform", "log", "vm_list"); err != nil {
-		return err
-	}
+func (s *Settings) checkPlatform(document *acaciatoml.Document) {
+	if !document.Require("platform", "log", "vm_list") {
+		return
+		}
 	if s.Platform.LogRetention == 0 {
 		s.Platform.LogRetention = defaultRetention
 	}
 	if s.Platform.LinkBytesPerSecond < 0 {
-		return document.Errorf("platform.link_bytes_per_second", "must be positive")
+		document.Add("platform.link_bytes_per_second", "must be positive")
 	}
 	if s.Platform.LogRetention < 0 {
-		return document.Errorf("platform.log_retention", "must be positive")
-	}
-	if err := checkURL(document, "platform.log", s.Platform.Log); err != nil {
-		return err
+		document.Add("platform.log_retention", "must be positive")
 	}
+	checkURL(document, "platform.log", s.Platform.Log)
 	if s.Platform.WeightStore != "" {
-		if err := checkURL(document, "platform.weight_store", s.Platform.WeightStore); err != nil {
-			return err
-		}
+		checkURL(document, "platform.weight_store", s.Platform.WeightStore)
 	}
-	return checkURL(document, "platform.vm_list", s.Platform.VMList)
+	checkURL(document, "platform.vm_list", s.Platform.VMList)
 }
 
-func (s *Settings) checkRole(document *acaciatoml.Document) error {
+func (s *Settings) checkRole(document *acaciatoml.Document) {
 	if (s.Entry == nil) == (s.Agent == nil) {
-		return document.Errorf("entry", "exactly one of the tables entry and agent is needed")
+		document.Add("entry", "exactly one of the tables entry and agent is needed")
 	}
-	return nil
 }
 
-func (s *Settings) checkEntry(document *acaciatoml.Document) error {
+func (s *Settings) checkEntry(document *acaciatoml.Document) {
 	if s.Entry == nil {
-		return nil
-	}
-	if err := document.Require("entry", "listen"); err != nil {
-		return err
+		return
 	}
+	if !document.Require("entry", "listen") {
+		return
+		}
 	if s.Entry.MaxBodyBytes == 0 {
 		s.Entry.MaxBodyBytes = defaultMaxBodyBytes
 	}
 	if s.Entry.MaxBodyBytes < 0 {
-		return document.Errorf("entry.max_body_bytes", "must be positive")
+		document.Add("entry.max_body_bytes", "must be positive")
 	}
 	if s.Entry.BodyTimeout == 0 {
 		s.Entry.BodyTimeout = defaultBodyTimeout
 	}
 	if s.Entry.BodyTimeout < 0 {
-		return document.Errorf("entry.body_timeout", "must be positive")
+		document.Add("entry.body_timeout", "must be positive")
 	}
-	return checkAddress(document, "entry.listen", s.Entry.Listen)
+	checkAddress(document, "entry.listen", s.Entry.Listen)
 }
 
-func (s *Settings) checkAgent(document *acaciatoml.Document) error {
+func (s *Settings) checkAgent(document *acaciatoml.Document) {
 	if s.Agent == nil {
-		return nil
-	}
-	if err := document.Require("agent", "kind", "endpoint"); err != nil {
-		return err
+		return
 	}
+	if !document.Require("agent", "kind", "endpoint") {
+		return
+		}
 	if s.Agent.Kind != KindModel && s.Agent.Kind != KindPlain {
-		return document.Errorf("agent.kind", "must be %q or %q", KindModel, KindPlain)
+		document.Add("agent.kind", "must be %q or %q", KindModel, KindPlain)
 	}
 	if s.Agent.PlainLimit < 0 {
-		return document.Errorf("agent.plain_limit", "must be positive")
+		document.Add("agent.plain_limit", "must be positive")
 	}
 	if s.Agent.CacheTokens < 0 {
-		return document.Errorf("agent.cache_tokens", "must be positive")
+		document.Add("agent.cache_tokens", "must be positive")
 	}
 	if s.Agent.AnswerBytes == 0 {
 		s.Agent.AnswerBytes = defaultAnswerBytes
 	}
 	if s.Agent.AnswerBytes < 0 {
-		return document.Errorf("agent.answer_bytes", "must be positive")
+		document.Add("agent.answer_bytes", "must be positive")
 	}
-	return checkURL(document, "agent.endpoint", s.Agent.Endpoint)
+	checkURL(document, "agent.endpoint", s.Agent.Endpoint)
 }
 
-func checkAddress(document *acaciatoml.Document, key, address string) error {
+func checkAddress(document *acaciatoml.Document, key, address string) {
 	if _, err := netip.ParseAddrPort(address); err != nil {
-		return document.Errorf(key, "must be IP:port, not %q", address)
+		document.Add(key, "must be IP:port, not %q", address)
 	}
-	return nil
 }
 
-func checkURL(document *acaciatoml.Document, key, address string) error {
+func checkURL(document *acaciatoml.Document, key, address string) {
 	parsed, err := url.Parse(address)
 	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
-		return document.Errorf(key, "must be an http or https URL, not %q", address)
+		document.Add(key, "must be an http or https URL, not %q", address)
 	}
-	return nil
 }
--- a/acaciasetting/settings_test.go
+++ b/acaciasetting/settings_test.go
@@ -49,3 +49,14 @@
 	assert.Equal(t, settings.Entry.MaxBodyBytes, int64(defaultMaxBodyBytes))
 	assert.Equal(t, settings.Process.DrainTime, defaultDrainTime)
 }
+
+func TestAllMistakesAreNamedAtOnce(t *testing.T) {
+	text := strings.NewReplacer(`address = "127.0.0.1:7000"`, `address = "here"`, `log = "http://127.0.0.1:7001"`, `log = "there"`).Replace(goodEntry)
+	_, err := Parse([]byte(text + "max_body_bytes = -1\n"))
+	assert.ErrorContains(t, err, "line 3: process.address")
+	assert.ErrorContains(t, err, "line 8: platform.log")
+	assert.ErrorContains(t, err, "line 13: entry.max_body_bytes")
+	_, err = Parse([]byte(text + "one = 1\ntwo = 2\n"))
+	assert.ErrorContains(t, err, "line 13: entry.one: unknown key")
+	assert.ErrorContains(t, err, "line 14: entry.two: unknown key")
+}
--- a/acaciatarget/targets.go
+++ b/acaciatarget/targets.go
@@ -69,23 +69,19 @@
 	maxOrganisations = 10_000
 )
 
-// Parse reads and checks targets; errors have CodeBadTargets.
+// Parse reads and checks targets; an error has CodeBadTargets and names all mistakes.
 func Parse(data []byte) (*Targets, error) {
 	targets := &Targets{}
 	document, err := acaciatoml.Decode(acaciaroute.CodeBadTargets, data, targets)
 	if err != nil {
 		return nil, err
 	}
-	checks := []func(*acaciatoml.Document) error{
-		targets.checkSizes,
-		targets.checkServices,
-		targets.checkClasses,
-		targets.checkOrganisations,
-	}
-	for _, check := range checks {
-		if err := check(document); err != nil {
-			return nil, err
-		}
+	targets.checkSizes(document)
+	targets.checkServices(document)
+	targets.checkClasses(document)
+	targets.checkOrganisations(document)
+	if err := document.Err(); err != nil {
+		return nil, err
 	}
 	return targets, nil
 }
@@ -179,121 +175,105 @@
 	return class, nil
 }
 
-func (t *Targets) checkSizes(document *acaciatoml.Document) error {
+func (t *Targets) checkSizes(document *acaciatoml.Document) {
 	if len(t.Services) == 0 {
-		return document.Errorf("service", "at least one is needed")
+		document.Add("service", "at least one is needed")
 	}
 	if len(t.Classes) == 0 || len(t.Classes) > maxClasses {
-		return document.Errorf("class", "between 1 and %d are needed", maxClasses)
+		document.Add("class", "between 1 and %d are needed", maxClasses)
 	}
 	if len(t.Organisations) == 0 || len(t.Organisations) > maxOrganisations {
-		return document.Errorf("organisation", "between 1 and %d are needed", maxOrganisations)
+		document.Add("organisation", "between 1 and %d are needed", maxOrganisations)
 	}
-	return nil
 }
 
-func (t *Targets) checkServices(document *acaciatoml.Document) error {
+func (t *Targets) checkServices(document *acaciatoml.Document) {
 	names := map[string]bool{}
 	models := map[string]bool{}
 	for i, service := range t.Services {
 		table := fmt.Sprintf("service[%d]", i)
-		if err := document.Require(table, "name", "kind"); err != nil {
-			return err
-		}
-		if err := unique(document, table+".name", service.Name, names); err != nil {
-			return err
-		}
+		if !document.Require(table, "name", "kind") {
+			continue
+			}
+		unique(document, table+".name", service.Name, names)
 		if service.Kind != KindModel && service.Kind != KindPlain {
-			return document.Errorf(table+".kind", "must be %q or %q", KindModel, KindPlain)
+			document.Add(table+".kind", "must be %q or %q", KindModel, KindPlain)
 		}
 		if (service.Kind == KindModel) != (len(service.Models) > 0) {
-			return document.Errorf(table+".models", "model services have models and plain ones have none")
+			document.Add(table+".models", "model services have models and plain ones have none")
 		}
 		for _, model := range service.Models {
-			if err := unique(document, table+".models", model, models); err != nil {
-				return err
-			}
+			unique(document, table+".models", model, models)
 		}
 	}
-	return nil
 }
 
-func (t *Targets) checkClasses(document *acaciatoml.Document) error {
+func (t *Targets) checkClasses(document *acaciatoml.Document) {
 	names := map[string]bool{}
 	for i, class := range t.Classes {
 		table := fmt.Sprintf("class[%d]", i)
-		if err := document.Require(table, "name", "services", "yield_order", "served_share", "first_token", "whole_time"); err != nil {
-			return err
-		}
-		if err := unique(document, table+".name", class.Name, names); err != nil {
-			return err
-		}
-		if err := class.check(document, table); err != nil {
-			return err
-		}
+		if !document.Require(table, "name", "services", "yield_order", "served_share", "first_token", "whole_time") {
+			continue
+			}
+		unique(document, table+".name", class.Name, names)
+		class.check(document, table)
 		for _, name := range class.Services {
 			if _, ok := t.Service(name); !ok {
-				return document.Errorf(table+".services", "service %q is not declared", name)
+				document.Add(table+".services", "service %q is not declared", name)
 			}
 		}
 	}
-	return nil
 }
 
-func (c Class) check(document *acaciatoml.Document, table string) error {
+func (c Class) check(document *acaciatoml.Document, table string) {
 	switch {
 	case c.YieldOrder < 1:
-		return document.Errorf(table+".yield_order", "must be 1 or more")
+		document.Add(table+".yield_order", "must be 1 or more")
 	case c.ServedShare <= 0 || c.ServedShare > 1:
-		return document.Errorf(table+".served_share", "must be above 0 and at most 1")
+		document.Add(table+".served_share", "must be above 0 and at most 1")
 	case c.FirstToken <= 0:
-		return document.Errorf(table+".first_token", "must be positive")
+		document.Add(table+".first_token", "must be positive")
 	case c.TokenGap < 0:
-		return document.Errorf(table+".token_gap", "must be positive")
+		document.Add(table+".token_gap", "must be positive")
 	case c.WholeTime < c.FirstToken:
-		return document.Errorf(table+".whole_time", "must be at least first_token")
+		document.Add(table+".whole_time", "must be at least first_token")
 	case len(c.Services) == 0:
-		return document.Errorf(table+".services", "at least one is needed")
+		document.Add(table+".services", "at least one is needed")
 	}
-	return nil
 }
 
-func (t *Targets) checkOrganisations(document *acaciatoml.Document) error {
+func (t *Targets) checkOrganisations(document *acaciatoml.Document) {
 	names := map[string]bool{}
 	hashes := map[string]bool{}
 	for i, organisation := range t.Organisations {
 		table := fmt.Sprintf("organisation[%d]", i)
-		if err := document.Require(table, "name", "key_hashes", "classes"); err != nil {
-			return err
-		}
-		if err := unique(document, table+".name", organisation.Name, names); err != nil {
-			return err
-		}
+		if !document.Require(table, "name", "key_hashes", "classes") {
+			continue
+			}
+		unique(document, table+".name", organisation.Name, names)
 		for _, hash := range organisation.KeyHashes {
 			raw, err := hex.DecodeString(hash)
 			if err != nil || len(raw) != sha256.Size || hash != hex.EncodeToString(raw) {
-				return document.Errorf(table+".key_hashes", "%q is no SHA-256 hash in lower-case hex", hash)
-			}
-			if err := unique(document, table+".key_hashes", hash, hashes); err != nil {
-				return err
+				document.Add(table+".key_hashes", "%q is no SHA-256 hash in lower-case hex", hash)
+				continue
 			}
+			unique(document, table+".key_hashes", hash, hashes)
 		}
 		for _, class := range organisation.Classes {
 			if _, ok := t.Class(class); !ok {
-				return document.Errorf(table+".classes", "class %q is not declared", class)
+				document.Add(table+".classes", "class %q is not declared", class)
 			}
 		}
 	}
-	return nil
 }
 
-func unique(document *acaciatoml.Document, key, name string, seen map[string]bool) error {
+func unique(document *acaciatoml.Document, key, name string, seen map[string]bool) {
 	if name == "" {
-		return document.Errorf(key, "must not be empty")
+		document.Add(key, "must not be empty")
+		return
 	}
 	if seen[name] {
-		return document.Errorf(key, "%q is declared twice", name)
+		document.Add(key, "%q is declared twice", name)
 	}
 	seen[name] = true
-	return nil
 }
--- a/acaciatarget/targets_test.go
+++ b/acaciatarget/targets_test.go
@@ -67,6 +67,12 @@
 	}
 }
 
+func TestAllMistakesAreNamedAtOnce(t *testing.T) {
+	_, err := Parse([]byte(strings.NewReplacer(`yield_order = 1`, `yield_order = 0`, `classes = ["survey"]`, `classes = ["audit"]`).Replace(good)))
+	assert.ErrorContains(t, err, "line 22: class[1].yield_order")
+	assert.ErrorContains(t, err, "line 30: organisation[0].classes")
+}
+
 func TestClassOfARequest(t *testing.T) {
 	targets, err := Parse([]byte(good))
 	assert.NilError(t, err)
--- a/acaciatoml/document.go
+++ b/acaciatoml/document.go
@@ -17,10 +17,12 @@
 	// Duration is a time.Duration written as text, such as "1.5s".
 	Duration time.Duration
 
-	// Document is a decoded file that knows the lines of its keys.
+	// Document is a decoded file that knows the lines of its keys and gathers what is
+	// wrong with them.
 	Document struct {
-		code  acaciaroute.Code
-		lines map[string]int
+		code     acaciaroute.Code
+		lines    map[string]int
+		problems []string
 	}
 )
 
@@ -52,11 +54,18 @@
 	return document, nil
 }
 
-// Errorf returns an error about a key; its line is that of the key or, if it is
-// missing, of the table around it.
-func (d *Document) Errorf(key, format string, args ...any) error {
-	line := d.line(key)
-	return acaciaroute.Errorf(d.code, "line %d: %s: %s", line, key, fmt.Sprintf(format, args...))
+// Add notes a mistake in a key; its line is that of the key or, if it is missing, of
+// the table around it.
+func (d *Document) Add(key, format string, args ...any) {
+	d.problems = append(d.problems, fmt.Sprintf("line %d: %s: %s", d.line(key), key, fmt.Sprintf(format, args...)))
+}
+
+// Err returns all mistakes as one error, a line each, or nil.
+func (d *Document) Err() error {
+	if len(d.problems) == 0 {
+		return nil
+	}
+	return acaciaroute.Errorf(d.code, "%s", strings.Join(d.problems, "\n"))
 }
 
 // Has reports whether the document holds the key.
@@ -65,17 +74,19 @@
 	return ok
 }
 
-// Require returns an error for the first of the keys that is missing in table.
-func (d *Document) Require(table string, keys ...string) error {
+// Require notes the keys that are missing in table, and reports whether none is.
+func (d *Document) Require(table string, keys ...string) bool {
+	whole := true
 	for _, key := range keys {
 		if table != "" {
 			key = table + "." + key
 		}
 		if !d.Has(key) {
-			return d.Errorf(key, "key is missing")
+			d.Add(key, "key is missing")
+			whole = false
 		}
 	}
-	return nil
+	return whole
 }
 
 func (d *Document) line(key string) int {
@@ -95,9 +106,11 @@
 func (d *Document) translate(err error) error {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		first := strict.Errors[0]
-		line, _ := first.Position()
-		return acaciaroute.Errorf(d.code, "line %d: %s: unknown key", line, strings.Join(first.Key(), "."))
+		for _, unknown := range strict.Errors {
+			line, _ := unknown.Position()
+			d.problems = append(d.problems, fmt.Sprintf("line %d: %s: unknown key", line, strings.Join(unknown.Key(), ".")))
+		}
+		return d.Err()
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
