--- a/acaciacapacity/slope_test.go
+++ b/acaciacapacity/slope_test.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -189,7 +188,7 @@
 func BenchmarkConfigurationJudged(b *testing.B) {
 	sizes(b, "organisations", []int{5, 50, 2900}, func(b *testing.B, n int) {
 		text := targetsText(n)
-		data, err := json.Marshal(acaciaconfiguration.Publication{ProposalID: "p", Targets: text})
+		data, err := acaciaconfiguration.Publication{ProposalID: "p", Targets: text}.Encode()
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -200,6 +199,7 @@
 			}
 		}
 		b.ReportMetric(float64(len(text)), "B/publication")
+		b.ReportMetric(float64(len(data)), "B/record")
 	})
 }
 
--- a/acaciaconfiguration/judge_test.go
+++ b/acaciaconfiguration/judge_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -39,7 +38,7 @@
 }
 
 func record(t assert.TestingT, offset acaciaroute.Offset, publication Publication) acaciaroute.Record {
-	data, err := json.Marshal(publication)
+	data, err := publication.Encode()
 	assert.NilError(t, err)
 	return acaciaroute.Record{Offset: offset, Data: data}
 }
--- a/acaciaconfiguration/publication.go
+++ b/acaciaconfiguration/publication.go
@@ -1,7 +1,7 @@
 package acaciaconfiguration
 
 import (
-	"encoding/json"
+	"fmt"
 
 	"github.com/acaciaroute/acaciaroute"
 	"github.com/acaciaroute/acaciaroute/acaciatarget"
@@ -87,9 +87,13 @@
 // but the records. A judge that has missed dropped records accepts nothing until
 // a renewal or a peer tells it the version in force.
 func (j *Judge) Judge(record acaciaroute.Record) Verdict {
-	var publication Publication
-	if err := json.Unmarshal(record.Data, &publication); err != nil {
-		return Verdict{Reason: acaciaroute.Errorf(acaciaroute.CodeBadTargets, "record %d is no publication", record.Offset)}
+	publication, err := decodePublication(record.Data)
+	if err != nil {
+		return Verdict{Reason: &acaciaroute.Error{
+			Code:   acaciaroute.CodeBadTargets,
+			Detail: fmt.Sprintf("record %d is no publication", record.Offset),
+			Err:    err,
+		}}
 	}
 	verdict := Verdict{ProposalID: publication.ProposalID}
 	snapshot := Snapshot{Version: record.Offset + 1, Text: publication.Targets}
--- a/acaciaconfiguration/publish.go
+++ b/acaciaconfiguration/publish.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/google/uuid"
@@ -49,7 +48,7 @@
 }
 
 func appendPublication(ctx context.Context, log acaciaroute.Log, publication Publication) error {
-	data, err := json.Marshal(publication)
+	data, err := publication.Encode()
 	if err != nil {
 		return err
 	}
--- a/acaciasetting/settings.go
+++ b/acaciasetting/settings.go
@@ -124,7 +124,7 @@
 func (s *Settings) checkProcess(document *acaciatoml.Document) {
 	if !document.Require("process", "id", "address", "data_centre", "region") {
 		return
-		}
+	}
 	if s.Process.DrainTime == 0 {
 		s.Process.DrainTime = defaultDrainTime
 	}
@@ -146,7 +146,7 @@
 func (s *Settings) checkPlatform(document *acaciatoml.Document) {
 	if !document.Require("platform", "log", "vm_list") {
 		return
-		}
+	}
 	if s.Platform.LogRetention == 0 {
 		s.Platform.LogRetention = defaultRetention
 	}
@@ -175,7 +175,7 @@
 	}
 	if !document.Require("entry", "listen") {
 		return
-		}
+	}
 	if s.Entry.MaxBodyBytes == 0 {
 		s.Entry.MaxBodyBytes = defaultMaxBodyBytes
 	}
@@ -197,7 +197,7 @@
 	}
 	if !document.Require("agent", "kind", "endpoint") {
 		return
-		}
+	}
 	if s.Agent.Kind != KindModel && s.Agent.Kind != KindPlain {
 		document.Add("agent.kind", "must be %q or %q", KindModel, KindPlain)
 	}
--- a/acaciatarget/targets.go
+++ b/acaciatarget/targets.go
@@ -194,7 +194,7 @@
 		table := fmt.Sprintf("service[%d]", i)
 		if !document.Require(table, "name", "kind") {
 			continue
-			}
+		}
 		unique(document, table+".name", service.Name, names)
 		if service.Kind != KindModel && service.Kind != KindPlain {
 			document.Add(table+".kind", "must be %q or %q", KindModel, KindPlain)
@@ -214,7 +214,7 @@
 		table := fmt.Sprintf("class[%d]", i)
 		if !document.Require(table, "name", "services", "yield_order", "served_share", "first_token", "whole_time") {
 			continue
-			}
+		}
 		unique(document, table+".name", class.Name, names)
 		class.check(document, table)
 		for _, name := range class.Services {
@@ -249,7 +249,7 @@
 		table := fmt.Sprintf("organisation[%d]", i)
 		if !document.Require(table, "name", "key_hashes", "classes") {
 			continue
-			}
+		}
 		unique(document, table+".name", organisation.Name, names)
 		for _, hash := range organisation.KeyHashes {
 			raw, err := hex.DecodeString(hash)
