Let the soak's faults overlap, and add leaving VMs and cut regions

Three disturbers now draw faults at the same time: also a process that is killed while frozen or frozen while it stops, a VM that leaves and comes back, a log that is down for 7 s, all links cut at once. A node is in the hand of one of them at a time. Bounds are as they were.

--- a/acaciasystem/soak_test.go
+++ b/acaciasystem/soak_test.go
@@ -21,16 +21,27 @@
 )
 
 type (
-	// soak disturbs a cluster at random while callers use it.
+	// soak is a cluster that several disturbers trouble while callers use it.
 	soak struct {
 		cluster *cluster
-		random  *rand.Rand
 		proxies map[*node]*proxy
-		faults  map[string]int
+		// busy are the nodes that a disturber has in hand.
+		busy map[*node]*sync.Mutex
+		// platform is held while the platform has a fault.
+		platform sync.Mutex
+
+		mu     sync.Mutex
+		faults map[string]int
 		// version counts the publications.
 		version int
 	}
 
+	// disturber draws faults, one after the other; those of several overlap.
+	disturber struct {
+		*soak
+		random *rand.Rand
+	}
+
 	// fate is what callers were told of one key or one request.
 	fate struct {
 		body     string
@@ -46,12 +57,14 @@
 		name   string
 		weight int
 		// once brings the trouble about and ends it.
-		once func(*soak, time.Duration)
+		once func(*disturber, time.Duration)
 	}
 )
 
 const (
 	soakLength = 25 * time.Second
+	// disturbers is how many faults there are at a time.
+	disturbers = 3
 	// soakTries is how often a caller repeats its key.
 	soakTries = 6
 	// longestCall is more than any class's time to the whole answer and the time that
@@ -71,94 +84,134 @@
 var regressionSeeds = map[uint64]string{}
 
 var soakFaults = []soakFault{
-	{"freeze agent", 3, func(s *soak, d time.Duration) { s.freeze(s.agent(), d) }},
-	{"freeze entry", 3, func(s *soak, d time.Duration) { s.freeze(s.entry(), d) }},
-	{"freeze agent for long", 1, func(s *soak, _ time.Duration) { s.freeze(s.agent(), 11*time.Second) }},
-	{"kill agent", 3, func(s *soak, d time.Duration) {
-		n := s.agent()
-		kill(s.cluster.t, n.process)
-		time.Sleep(d)
-		s.cluster.startNode(n)
+	{"freeze", 5, func(x *disturber, d time.Duration) { x.with(x.node(), func(n *node) { x.freeze(n, d) }) }},
+	{"freeze for long", 1, func(x *disturber, _ time.Duration) {
+		x.with(x.node(), func(n *node) { x.freeze(n, 11*time.Second) })
+	}},
+	{"kill", 5, func(x *disturber, d time.Duration) {
+		x.with(x.node(), func(n *node) {
+			kill(x.cluster.t, n.process)
+			time.Sleep(d)
+			x.cluster.startNode(n)
+		})
 	}},
-	{"kill entry", 3, func(s *soak, _ time.Duration) {
-		n := s.entry()
-		kill(s.cluster.t, n.process)
-		s.cluster.startNode(n)
+	{"restart", 4, func(x *disturber, _ time.Duration) {
+		x.with(x.node(), func(n *node) {
+			stop(x.cluster.t, n.process)
+			x.cluster.startNode(n)
+		})
+	}},
+	{"freeze, then kill", 1, func(x *disturber, d time.Duration) {
+		x.with(x.node(), func(n *node) {
+			n.signal(x.cluster.t, syscall.SIGSTOP)
+			time.Sleep(d)
+			kill(x.cluster.t, n.process)
+			x.cluster.startNode(n)
+		})
+	}},
+	{"freeze in a restart", 1, func(x *disturber, d time.Duration) {
+		x.with(x.node(), func(n *node) {
+			n.signal(x.cluster.t, syscall.SIGTERM)
+			time.Sleep(d / 4)
+			x.freeze(n, d)
+			_, _ = n.process.Process.Wait()
+			x.cluster.startNode(n)
+		})
 	}},
-	{"restart agent", 2, func(s *soak, _ time.Duration) { s.restart(s.agent()) }},
-	{"restart entry", 2, func(s *soak, _ time.Duration) { s.restart(s.entry()) }},
-	{"log down", 3, func(s *soak, d time.Duration) { s.log(`{"down":true}`, d) }},
-	{"log unreached", 2, func(s *soak, d time.Duration) { s.log(`{"unreached":true}`, d) }},
-	{"log loses answers", 3, func(s *soak, d time.Duration) { s.log(`{"lose_answers":true}`, d) }},
-	{"log slow", 2, func(s *soak, d time.Duration) { s.log(`{"delay":300000000}`, d) }},
-	{"list lapses", 3, (*soak).lapse},
-	{"list slow", 1, func(s *soak, d time.Duration) { s.list(`{"delay":1500000000}`, d) }},
-	{"cut", 4, func(s *soak, d time.Duration) {
-		p := s.proxies[s.agent()]
-		p.hold(direction(s.random.IntN(2)))
+	{"leave and come back", 2, func(x *disturber, d time.Duration) {
+		x.with(x.agent(), func(n *node) {
+			x.list(n, acaciaroute.VMLeaving)
+			time.Sleep(d)
+			stop(x.cluster.t, n.process)
+			x.cluster.startNode(n)
+			x.list(n, acaciaroute.VMLive)
+		})
+	}},
+	{"cut", 4, func(x *disturber, d time.Duration) {
+		p := x.proxies[x.agent()]
+		p.hold(direction(x.random.IntN(2)))
 		time.Sleep(d / 2)
 		p.cut()
 		p.release()
 	}},
-	{"engine crash", 2, func(s *soak, _ time.Duration) {
-		s.cluster.fault(s.engine().backend, `{"crash":true}`)
-	}},
-	{"engine slow", 2, func(s *soak, d time.Duration) {
-		engine := s.engine()
-		s.cluster.fault(engine.backend, `{"slowdown":30}`)
+	{"region cut", 1, func(x *disturber, d time.Duration) {
+		for _, p := range x.proxies {
+			p.hold(toAgent)
+			p.hold(toEntry)
+		}
 		time.Sleep(d)
-		s.cluster.fault(engine.backend, ownSpeed)
+		for _, p := range x.proxies {
+			p.release()
+		}
 	}},
-	{"publication", 2, func(s *soak, _ time.Duration) {
-		s.version++
-		s.cluster.tryPublish(targetsText + organisationText("hoehle") + organisationText("karst") + organisationText(fmt.Sprint("verein-", s.version)))
+	{"engine crash", 2, func(x *disturber, _ time.Duration) { x.cluster.fault(x.engine().backend, `{"crash":true}`) }},
+	{"engine slow", 2, func(x *disturber, d time.Duration) {
+		engine := x.engine()
+		x.cluster.fault(engine.backend, `{"slowdown":30}`)
+		time.Sleep(d)
+		x.cluster.fault(engine.backend, ownSpeed)
 	}},
+	{"log down", 3, func(x *disturber, d time.Duration) { x.trouble("", `{"down":true}`, d) }},
+	{"log unreached", 2, func(x *disturber, d time.Duration) { x.trouble("", `{"unreached":true}`, d) }},
+	{"log loses answers", 3, func(x *disturber, d time.Duration) { x.trouble("", `{"lose_answers":true}`, d) }},
+	{"log slow", 2, func(x *disturber, d time.Duration) { x.trouble("", `{"delay":300000000}`, d) }},
+	{"log down for long", 1, func(x *disturber, _ time.Duration) { x.trouble("", `{"down":true}`, 7*time.Second) }},
+	{"list slow", 1, func(x *disturber, d time.Duration) { x.trouble("/vms", `{"delay":1500000000}`, d) }},
+	{"list lapses", 3, (*disturber).lapse},
+	{"publication", 2, (*disturber).publish},
 }
 
-func (s *soak) agent() *node {
-	agents := slices.Concat(s.cluster.engines, s.cluster.plains)
-	return agents[s.random.IntN(len(agents))]
+// agent draws an agent, node any process, and engine a model engine.
+func (x *disturber) agent() *node {
+	return x.draw(slices.Concat(x.cluster.engines, x.cluster.plains))
 }
 
-func (s *soak) engine() *node {
-	return s.cluster.engines[s.random.IntN(len(s.cluster.engines))]
+func (x *disturber) node() *node {
+	return x.draw(x.cluster.nodes())
 }
 
-func (s *soak) entry() *node {
-	return s.cluster.entries[s.random.IntN(len(s.cluster.entries))]
+func (x *disturber) engine() *node {
+	return x.draw(x.cluster.engines)
 }
 
-func (s *soak) freeze(n *node, d time.Duration) {
-	n.signal(s.cluster.t, syscall.SIGSTOP)
-	time.Sleep(d)
-	n.signal(s.cluster.t, syscall.SIGCONT)
+func (x *disturber) draw(nodes []*node) *node {
+	return nodes[x.random.IntN(len(nodes))]
 }
 
-func (s *soak) restart(n *node) {
-	stop(s.cluster.t, n.process)
-	s.cluster.startNode(n)
+// with does something to a node that no other disturber has in hand.
+func (x *disturber) with(n *node, do func(*node)) {
+	if !x.busy[n].TryLock() {
+		return
+	}
+	defer x.busy[n].Unlock()
+	do(n)
 }
 
-func (s *soak) log(fault string, d time.Duration) {
-	s.cluster.fault(s.cluster.platform, fault)
+func (x *disturber) freeze(n *node, d time.Duration) {
+	n.signal(x.cluster.t, syscall.SIGSTOP)
 	time.Sleep(d)
-	s.cluster.fault(s.cluster.platform, `{}`)
+	n.signal(x.cluster.t, syscall.SIGCONT)
 }
 
-func (s *soak) list(fault string, d time.Duration) {
-	s.cluster.fault(s.cluster.platform+"/vms", fault)
+// trouble sets a fault of the platform for a while.
+func (x *disturber) trouble(part, fault string, d time.Duration) {
+	x.platform.Lock()
+	defer x.platform.Unlock()
+	x.cluster.fault(x.cluster.platform+part, fault)
 	time.Sleep(d)
-	s.cluster.fault(s.cluster.platform+"/vms", `{}`)
+	x.cluster.fault(x.cluster.platform+part, `{}`)
 }
 
 // lapse has VMs lose their entries while the list is away and get them back soon after.
-func (s *soak) lapse(d time.Duration) {
-	c := s.cluster
+func (x *disturber) lapse(d time.Duration) {
+	x.platform.Lock()
+	defer x.platform.Unlock()
+	c := x.cluster
 	c.fault(c.platform+"/vms", `{"down":true}`)
 	time.Sleep(d)
 	var lapsed []*node
 	for _, n := range slices.Concat(c.engines, c.plains) {
-		if s.random.IntN(2) == 0 {
+		if x.random.IntN(2) == 0 && x.busy[n].TryLock() {
 			lapsed = append(lapsed, n)
 			c.removeVM(n.vm)
 		}
@@ -166,30 +219,53 @@
 	c.fault(c.platform+"/vms", `{}`)
 	time.Sleep(time.Second)
 	for _, n := range lapsed {
-		s.setVM(n)
+		x.list(n, acaciaroute.VMLive)
+		x.busy[n].Unlock()
 	}
 }
 
-// setVM lists a VM at its proxy's address.
-func (s *soak) setVM(n *node) {
+// list puts a VM on the list in a state, at its proxy's address.
+func (s *soak) list(n *node, state acaciaroute.VMState) {
 	vm := n.vm
 	vm.Address = s.proxies[n].address
+	vm.State = state
 	s.cluster.setVM(vm)
 }
 
-// disturb draws one fault.
-func (s *soak) disturb() {
+// publish publishes targets; while the log fails it may not succeed.
+func (s *soak) publish(time.Duration) {
+	s.mu.Lock()
+	s.version++
+	version := s.version
+	s.mu.Unlock()
+	c := s.cluster
+	path := filepath.Join(c.dir, fmt.Sprintf("soak-targets-%d.toml", version))
+	targets := targetsText + organisationText("hoehle") + organisationText("karst") + organisationText(fmt.Sprint("verein-", version))
+	assert.Check(c.t, os.WriteFile(path, []byte(targets), 0o600))
+	output, err := c.run("publish", "--log", "http://"+c.platform, "--vm-list", "http://"+c.platform, "--targets", path)
+	assert.Check(c.t, err == nil || strings.Contains(output, "400") || strings.Contains(output, "500"), output)
+}
+
+// disturb draws faults until a time.
+func (x *disturber) disturb(end time.Time) {
 	total := 0
 	for _, f := range soakFaults {
 		total += f.weight
 	}
-	at := s.random.IntN(total)
-	d := time.Duration(200+s.random.IntN(1500)) * time.Millisecond
+	for time.Now().Before(end) {
+		x.once(x.random.IntN(total), time.Duration(200+x.random.IntN(1500))*time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+func (x *disturber) once(at int, d time.Duration) {
 	for _, f := range soakFaults {
 		at -= f.weight
 		if at < 0 {
-			s.faults[f.name]++
-			f.once(s, d)
+			x.mu.Lock()
+			x.faults[f.name]++
+			x.mu.Unlock()
+			f.once(x, d)
 			return
 		}
 	}
@@ -222,7 +298,10 @@
 		c.keepLogs(filepath.Join(*soakKeep, fmt.Sprint("seed-", seed)))
 	}
 	c.start(3, 2, 2)
-	s := &soak{cluster: c, random: rand.New(rand.NewPCG(seed, seed)), proxies: map[*node]*proxy{}, faults: map[string]int{}}
+	s := &soak{cluster: c, proxies: map[*node]*proxy{}, busy: map[*node]*sync.Mutex{}, faults: map[string]int{}}
+	for _, n := range c.nodes() {
+		s.busy[n] = &sync.Mutex{}
+	}
 	for _, n := range slices.Concat(c.engines, c.plains) {
 		s.proxies[n] = c.interpose(n)
 	}
@@ -230,10 +309,12 @@
 	end := time.Now().Add(soakLength)
 	fates := make(chan map[string][]fate)
 	go func() { fates <- c.callers(end) }()
-	for time.Now().Before(end) {
-		s.disturb()
-		time.Sleep(300 * time.Millisecond)
+	var group sync.WaitGroup
+	for i := range disturbers {
+		x := &disturber{soak: s, random: rand.New(rand.NewPCG(seed, uint64(i)))}
+		group.Go(func() { x.disturb(end) })
 	}
+	group.Wait()
 	told := <-fates
 	t.Logf("seed %d, faults %v", seed, s.faults)
 	plainRuns, modelRuns := c.runs(c.plains), c.runs(c.engines)
@@ -396,14 +477,6 @@
 	}
 }
 
-// tryPublish publishes targets; while the log fails it may not succeed.
-func (c *cluster) tryPublish(targets string) {
-	path := filepath.Join(c.dir, "soak-targets.toml")
-	assert.Check(c.t, os.WriteFile(path, []byte(targets), 0o600))
-	output, err := c.run("publish", "--log", "http://"+c.platform, "--vm-list", "http://"+c.platform, "--targets", path)
-	assert.Check(c.t, err == nil || strings.Contains(output, "400") || strings.Contains(output, "500"), output)
-}
-
 func (c *cluster) removeVM(vm acaciaroute.VM) {
 	c.t.Helper()
 	request, err := http.NewRequest(http.MethodDelete, "http://"+c.platform+"/vms/"+vm.ID, nil)
