Tell of each lost dependency and failed call

Followers of the log (claims, suspects, orders), the weight store, cache events and calls of peers ignored their errors: a process that could not read the claims said nothing of it. Each dependency now has one line when it is lost and one when it is back, with how long it was away; each failed call of a peer has a line with its request and reason.

--- a/acaciaagent/agent.go
+++ b/acaciaagent/agent.go
@@ -105,7 +105,7 @@
 		tally:    acaciaprocess.NewTally(),
 		metrics:  newMetrics(),
 		started:  time.Now(),
-		poison:   acaciapoison.New(process.Log),
+		poison:   acaciapoison.New(process.Log, process.Recorder),
 
 		executions: executions,
 
@@ -226,7 +226,7 @@
 	defer cache.Stop()
 	running := 0
 	closing := a.closing
-	events := cacheFollower{agent: a}
+	events := cacheFollower{agent: a, engine: acaciaevent.NewDependency(a.process.Recorder, "cache events of the engine")}
 	for closing != nil || running > 0 {
 		select {
 		case e := <-a.reports:
--- a/acaciaagent/cache.go
+++ b/acaciaagent/cache.go
@@ -11,8 +11,9 @@
 type (
 	// cacheFollower corrects the predicted prefix cache by the engine's events.
 	cacheFollower struct {
-		agent *Agent
-		last  int64
+		agent  *Agent
+		engine *acaciaevent.Dependency
+		last   int64
 	}
 )
 
@@ -28,6 +29,7 @@
 	ctx, cancel := context.WithTimeout(f.agent.runs, cacheTimeout)
 	defer cancel()
 	events, err := engine.CacheEvents(ctx, f.last)
+	f.engine.Note(err)
 	if err != nil {
 		return
 	}
--- a/acaciaentry/entry.go
+++ b/acaciaentry/entry.go
@@ -52,7 +52,7 @@
 		keys:       acaciakey.New(process.Log, process.Recorder),
 		keyed:      newKeyedBook(),
 		seen:       newAgentHistory(),
-		poison:     acaciapoison.New(process.Log),
+		poison:     acaciapoison.New(process.Log, process.Recorder),
 		tally:      acaciaprocess.NewTally(),
 		metrics:    newMetrics(),
 		issuer:     newIssuer(process),
--- a/acaciaentry/keyed.go
+++ b/acaciaentry/keyed.go
@@ -215,6 +215,9 @@
 	if err == nil && reply.State != int32(acaciawire.RunUnknown) {
 		return reply
 	}
+	if err != nil {
+		e.process.Recorder.Failed("ask the key's entry for its run", req.event(acaciaevent.CallFailed), err)
+	}
 	return e.findAtAgents(ctx, req, message)
 }
 
@@ -233,6 +236,7 @@
 		go func() {
 			reply, err := e.process.Clients.Peer(address).FindRun(ctx, message)
 			if err != nil {
+				e.process.Recorder.Failed("ask an agent for a key's run", req.event(acaciaevent.CallFailed), err)
 				reply = &acaciawire.FindRunReply{}
 			}
 			replies <- reply
--- a/acaciaentry/outage.go
+++ b/acaciaentry/outage.go
@@ -184,6 +184,7 @@
 		Entry:     k.claim.Entry,
 	})
 	if err != nil {
+		k.failed("lock a key", vm, err)
 		return lockResult{}
 	}
 	if !reply.Locked {
@@ -194,17 +195,25 @@
 	return lockResult{locked: time.Now().Add(-uptime).Before(k.since)}
 }
 
+func (k *keyLocks) failed(call string, vm acaciaroute.VM, err error) {
+	about := acaciaevent.Event{RequestID: k.claim.RequestID, KeyHash: k.claim.KeyHash, Endpoint: vm.ID}
+	k.entry.process.Recorder.Failed(call, about, err)
+}
+
 // release gives the locks back.
 func (k *keyLocks) release() {
 	for _, vm := range k.agents {
 		go func() {
 			ctx, cancel := context.WithTimeout(k.entry.background, lockTimeout)
 			defer cancel()
-			_, _ = k.entry.process.Clients.Agent(vm.Address).LockKey(ctx, &acaciawire.LockKeyRequest{
+			_, err := k.entry.process.Clients.Agent(vm.Address).LockKey(ctx, &acaciawire.LockKeyRequest{
 				KeyHash:   k.claim.KeyHash,
 				RequestId: k.claim.RequestID,
 				Release:   true,
 			})
+			if err != nil {
+				k.failed("give a lock back", vm, err)
+			}
 		}()
 	}
 }
--- a/acaciaentry/relay.go
+++ b/acaciaentry/relay.go
@@ -217,7 +217,9 @@
 func (r *relay) cancelRun() {
 	ctx, cancel := context.WithTimeout(r.entry.background, cancelTimeout)
 	defer cancel()
-	_, _ = r.client().Cancel(ctx, &acaciawire.CancelRequest{RequestId: r.runID})
+	if _, err := r.client().Cancel(ctx, &acaciawire.CancelRequest{RequestId: r.runID}); err != nil {
+		r.entry.process.Recorder.Failed("cancel the run", acaciaevent.Event{RequestID: r.req.id, Endpoint: r.endpoint()}, err)
+	}
 }
 
 func (r *relay) client() acaciawire.AgentServiceClient {
--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -63,6 +63,9 @@
 	VMKept      Kind = 513
 
 	AgentUnreached Kind = 514
+	DependencyLost Kind = 515
+	DependencyBack Kind = 516
+	CallFailed     Kind = 517
 
 	LeaseTaken   Kind = 601
 	OrderIssued  Kind = 602
@@ -131,6 +134,9 @@
 	VMKept:      "vm_kept",
 
 	AgentUnreached: "agent_unreached",
+	DependencyLost: "dependency_lost",
+	DependencyBack: "dependency_back",
+	CallFailed:     "call_failed",
 
 	LeaseTaken:   "lease_taken",
 	OrderIssued:  "order_issued",
@@ -152,6 +158,7 @@
 	LogDown:              true,
 	VMListDown:           true,
 	LogTrimmed:           true,
+	DependencyLost:       true,
 	OrderFailed:          true,
 	OrderRefused:         true,
 }
--- a/acaciaevent/recorder.go
+++ b/acaciaevent/recorder.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// Failed records that one call has failed whose caller goes on without it.
+func (r *Recorder) Failed(call string, about Event, err error) {
+	about.Kind = CallFailed
+	about.Detail = call + ": " + err.Error()
+	r.Record(about)
+}
+
 // After returns the kept events with a stamp above after, oldest first.
 func (r *Recorder) After(after Stamp) []Event {
 	r.mu.Lock()
--- a/acaciakey/registry.go
+++ b/acaciakey/registry.go
@@ -20,6 +20,7 @@
 	Registry struct {
 		log      acaciaroute.Log
 		recorder *acaciaevent.Recorder
+		claims   *acaciaevent.Dependency
 		pending  chan *pendingClaim
 		worker   *acacialoop.Worker
 
@@ -67,6 +68,7 @@
 	return &Registry{
 		log:      log,
 		recorder: recorder,
+		claims:   acaciaevent.NewDependency(recorder, "claims of keys"),
 		pending:  make(chan *pendingClaim, maxBatch),
 		worker:   acacialoop.NewWorker(),
 		index:    index{holders: map[string]Claim{}},
@@ -130,13 +132,13 @@
 func (r *Registry) run(ctx context.Context) {
 	ticker := time.NewTicker(followInterval)
 	defer ticker.Stop()
-	_ = r.catchUp(ctx)
+	r.claims.Note(r.catchUp(ctx))
 	for {
 		select {
 		case p := <-r.pending:
 			r.decide(ctx, r.gather(ctx, p))
 		case <-ticker.C:
-			_ = r.catchUp(ctx)
+			r.claims.Note(r.catchUp(ctx))
 			r.flush(ctx)
 			r.mu.Lock()
 			r.index.forget(time.Now())
--- a/acaciaorder/issuer.go
+++ b/acaciaorder/issuer.go
@@ -27,6 +27,7 @@
 		sender   Sender
 		missing  func() []Instruction
 		recorder *acaciaevent.Recorder
+		orders   *acaciaevent.Dependency
 		worker   *acacialoop.Worker
 
 		results chan result
@@ -63,6 +64,7 @@
 		sender:   sender,
 		missing:  missing,
 		recorder: recorder,
+		orders:   acaciaevent.NewDependency(recorder, "orders to engines"),
 		worker:   acacialoop.NewWorker(),
 		results:  make(chan result),
 		running:  map[string]bool{},
@@ -101,7 +103,9 @@
 	if len(missing) == 0 && len(i.running) == 0 {
 		return
 	}
-	if i.lease.Refresh(ctx) != nil || !i.hold(ctx) {
+	err := i.lease.Refresh(ctx)
+	i.orders.Note(err)
+	if err != nil || !i.hold(ctx) {
 		return
 	}
 	for _, instruction := range missing {
@@ -122,6 +126,7 @@
 	}
 	offset, err := i.lease.Write(ctx, nil)
 	if err != nil {
+		i.recorder.Failed("take or renew the lease", acaciaevent.Event{}, err)
 		return false
 	}
 	if !held {
@@ -139,6 +144,7 @@
 	if err == nil {
 		return true
 	}
+	i.recorder.Failed("reserve weights", acaciaevent.Event{Model: instruction.Model, Endpoint: instruction.VM}, err)
 	pause := leastPause
 	var coded *acaciaroute.Error
 	if errors.As(err, &coded) {
@@ -152,6 +158,7 @@
 func (i *Issuer) issue(ctx context.Context, instruction Instruction) bool {
 	fence, err := i.lease.Write(ctx, &instruction)
 	if err != nil {
+		i.recorder.Failed("write an order", acaciaevent.Event{Model: instruction.Model, Endpoint: instruction.VM}, err)
 		return false
 	}
 	i.record(acaciaevent.OrderIssued, result{instruction: instruction, fence: fence})
--- a/acaciapoison/registry.go
+++ b/acaciapoison/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acacialoop"
 )
 
@@ -15,9 +16,10 @@
 	// Registry follows the stream of reports and adds to it. A report that the log
 	// does not take is kept and tried again, and counts here at once.
 	Registry struct {
-		log    acaciaroute.Log
-		added  chan struct{}
-		worker *acacialoop.Worker
+		log     acaciaroute.Log
+		reports *acaciaevent.Dependency
+		added   chan struct{}
+		worker  *acacialoop.Worker
 
 		mu       sync.Mutex
 		register *register
@@ -35,9 +37,10 @@
 )
 
 // New returns a registry that has not started.
-func New(log acaciaroute.Log) *Registry {
+func New(log acaciaroute.Log, recorder *acaciaevent.Recorder) *Registry {
 	return &Registry{
 		log:      log,
+		reports:  acaciaevent.NewDependency(recorder, "reports of suspects"),
 		added:    make(chan struct{}, 1),
 		worker:   acacialoop.NewWorker(),
 		register: newRegister(),
@@ -88,8 +91,7 @@
 	ticker := time.NewTicker(followInterval)
 	defer ticker.Stop()
 	for {
-		r.send(ctx)
-		r.read(ctx)
+		r.reports.Note(errors.Join(r.send(ctx), r.read(ctx)))
 		select {
 		case <-r.added:
 		case <-ticker.C:
@@ -101,24 +103,24 @@
 
 // send appends the reports that the log does not have. One that took effect though
 // its answer was lost is sent twice, which changes nothing.
-func (r *Registry) send(ctx context.Context) {
+func (r *Registry) send(ctx context.Context) error {
 	for {
 		r.mu.Lock()
 		if len(r.unsent) == 0 {
 			r.mu.Unlock()
-			return
+			return nil
 		}
 		report := r.unsent[0]
 		r.mu.Unlock()
 		data, err := json.Marshal(report)
 		if err != nil {
-			return
+			return err
 		}
 		called, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err = r.log.Append(called, acaciaroute.StreamSuspects, data)
 		cancel()
 		if err != nil {
-			return
+			return err
 		}
 		r.mu.Lock()
 		r.unsent = r.unsent[1:]
@@ -126,13 +128,13 @@
 	}
 }
 
-func (r *Registry) read(ctx context.Context) {
+func (r *Registry) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if !r.placed {
 		oldest, _, err := r.log.Head(ctx, acaciaroute.StreamSuspects)
 		if err != nil {
-			return
+			return err
 		}
 		r.next = oldest
 		r.placed = true
@@ -143,7 +145,7 @@
 		if errors.As(err, &coded) && coded.Code == acaciaroute.CodeLogTrimmed {
 			r.placed = false
 		}
-		return
+		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -152,4 +154,5 @@
 		r.next = record.Offset + 1
 	}
 	r.register.forget(time.Now())
+	return nil
 }
--- a/acaciaprocess/client.go
+++ b/acaciaprocess/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciawire"
 )
 
@@ -26,6 +27,7 @@
 	ConfigurationPeers struct {
 		clients   *Clients
 		directory *Directory
+		recorder  *acaciaevent.Recorder
 		own       string
 	}
 )
@@ -90,8 +92,8 @@
 }
 
 // NewConfigurationPeers returns peers other than the process at address own.
-func NewConfigurationPeers(clients *Clients, directory *Directory, own string) *ConfigurationPeers {
-	return &ConfigurationPeers{clients: clients, directory: directory, own: own}
+func NewConfigurationPeers(clients *Clients, directory *Directory, recorder *acaciaevent.Recorder, own string) *ConfigurationPeers {
+	return &ConfigurationPeers{clients: clients, directory: directory, recorder: recorder, own: own}
 }
 
 // NewestConfiguration implements acaciaconfiguration.Peers.
@@ -104,6 +106,7 @@
 		go func() {
 			reply, err := p.clients.Peer(address).Configuration(ctx, &acaciawire.ConfigurationRequest{})
 			if err != nil {
+				p.recorder.Failed("ask a peer for its configuration", acaciaevent.Event{Endpoint: address}, err)
 				reply = nil
 			}
 			replies <- reply
--- a/acaciaprocess/process.go
+++ b/acaciaprocess/process.go
@@ -69,7 +69,7 @@
 	recorder := acaciaevent.NewRecorder(settings.Process.ID, clock, log, acaciaevent.DefaultCapacity)
 	directory := NewDirectory(platform.VMList, recorder)
 	clients := NewClients()
-	peers := NewConfigurationPeers(clients, directory, settings.Process.Address)
+	peers := NewConfigurationPeers(clients, directory, recorder, settings.Process.Address)
 	times := acaciaconfiguration.Settings{
 		Interval:  acaciaconfiguration.DefaultInterval,
 		Retention: time.Duration(settings.Platform.LogRetention),
