--- a/acaciasystem/cluster_test.go
+++ b/acaciasystem/cluster_test.go
@@ -410,9 +410,13 @@
 	assert.NilError(c.t, response.Body.Close())
 }
 
+// signal sends a signal to a VM's process; it returns once SIGSTOP has stopped it.
 func (n *node) signal(t *testing.T, signal syscall.Signal) {
 	t.Helper()
 	assert.NilError(t, n.process.Process.Signal(signal))
+	if signal == syscall.SIGSTOP {
+		awaitStop(t, n.process)
+	}
 }
 
 // kill ends a process at once and waits for it.
