Let a VM serve again that the list calls live again

Ruled out: the engines (free 12, nothing queued), the entries (they asked both agents), the links.

Change: agents and entries follow the list both ways.

TestVMThatIsLiveAgainServesAgain: before, not ready within 15 s; after, served.

--- a/acaciaagent/agent.go
+++ b/acaciaagent/agent.go
@@ -241,12 +241,16 @@
 	}
 }
 
-// followList stops the agent's grants once the platform calls its VM leaving.
+// followList stops the agent's grants while the platform calls its VM leaving.
 func (a *Agent) followList(vms []acaciaroute.VM) {
-	for _, vm := range vms {
-		if vm.ID == a.process.Settings.Process.ID && vm.State == acaciaroute.VMLeaving {
-			a.process.Recorder.Record(acaciaevent.Event{Kind: acaciaevent.VMLeaving})
-			a.process.Loop.Post(a.granter.Stop)
-		}
+	if !a.process.FollowOwnVM(vms) {
+		return
 	}
+	a.process.Loop.Post(func() {
+		if a.process.Leaving() || a.process.Stopping() {
+			a.granter.Stop()
+			return
+		}
+		a.granter.Resume()
+	})
 }
--- a/acaciaentry/entry.go
+++ b/acaciaentry/entry.go
@@ -9,7 +9,6 @@
 
 	"github.com/acaciaroute/acaciaroute"
 	"github.com/acaciaroute/acaciaroute/acaciachoice"
-	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciakey"
 	"github.com/acaciaroute/acaciaroute/acaciaorder"
 	"github.com/acaciaroute/acaciaroute/acaciapoison"
@@ -105,7 +104,12 @@
 
 // Ready implements acaciaprocess.Role.
 func (e *Entry) Ready() bool {
-	return !e.process.Stopping() && e.process.Keeper.Current().Version > 0 && e.process.Directory.Read()
+	return !e.closing() && e.process.Keeper.Current().Version > 0 && e.process.Directory.Read()
+}
+
+// closing reports whether callers should go to other entries.
+func (e *Entry) closing() bool {
+	return e.process.Stopping() || e.process.Leaving()
 }
 
 // Counts implements acaciaprocess.Role.
@@ -128,16 +132,13 @@
 func (e *Entry) Handle(*http.ServeMux) {}
 
 func (e *Entry) followList(vms []acaciaroute.VM) {
+	e.process.FollowOwnVM(vms)
 	e.seen.note(vms, time.Now())
 	var endpoints []acaciachoice.Endpoint
 	for _, vm := range vms {
 		if vm.Role == acaciaroute.RoleEndpoint {
 			endpoints = append(endpoints, acaciachoice.Endpoint{VM: vm})
 		}
-		if vm.ID == e.process.Settings.Process.ID && vm.State == acaciaroute.VMLeaving {
-			e.process.Recorder.Record(acaciaevent.Event{Kind: acaciaevent.VMLeaving})
-			e.process.BeginStop()
-		}
 	}
 	rate := e.linkRate(vms)
 	e.process.Loop.Post(func() {
--- a/acaciaentry/routes.go
+++ b/acaciaentry/routes.go
@@ -41,14 +41,14 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		e.refuse(w, acaciaroute.Errorf(acaciaroute.CodeUnknownService, "nothing is served at %s %s", r.Method, r.URL.Path))
 	})
-	return e.closing(mux)
+	return e.closeConnections(mux)
 }
 
-// closing has a stopping entry close its connections after their next answer, so that
-// none is closed while its caller sends the next request.
-func (e *Entry) closing(next http.Handler) http.Handler {
+// closeConnections has an entry that stops or leaves close its connections after their
+// next answer, so that none is closed while its caller sends the next request.
+func (e *Entry) closeConnections(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.process.Stopping() {
+		if e.closing() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -66,6 +66,7 @@
 	DependencyLost Kind = 515
 	DependencyBack Kind = 516
 	CallFailed     Kind = 517
+	VMReturned     Kind = 518
 
 	LeaseTaken   Kind = 601
 	OrderIssued  Kind = 602
@@ -137,6 +138,7 @@
 	DependencyLost: "dependency_lost",
 	DependencyBack: "dependency_back",
 	CallFailed:     "call_failed",
+	VMReturned:     "vm_returned",
 
 	LeaseTaken:   "lease_taken",
 	OrderIssued:  "order_issued",
--- a/acaciagrant/granter.go
+++ b/acaciagrant/granter.go
@@ -187,6 +187,11 @@
 	}
 }
 
+// Resume makes a stopped granter take work again.
+func (g *Granter) Resume() {
+	g.stopping = false
+}
+
 // Idle reports whether nothing runs and no grant is held.
 func (g *Granter) Idle() bool {
 	return len(g.runs) == 0 && len(g.held) == 0
--- a/acaciagrant/granter_test.go
+++ b/acaciagrant/granter_test.go
@@ -69,6 +69,16 @@
 	assert.Check(t, !late)
 }
 
+func TestResumedGranterTakesWorkAgain(t *testing.T) {
+	b := newBench(Settings{Plain: true, PlainLimit: 1})
+	b.Stop()
+	b.reserve("early", 1, 0, time.Minute)
+	assert.Equal(t, b.last("early").Kind, acaciaroute.OfferRefused)
+	b.Resume()
+	b.reserve("late", 1, 0, time.Minute)
+	assert.Equal(t, b.last("late").Kind, acaciaroute.OfferGranted)
+}
+
 func TestStopRefusesWhatWaitsAndKeepsWhatRuns(t *testing.T) {
 	b := newBench(Settings{Plain: true, PlainLimit: 1})
 	b.reserve("runs", 1, 0, time.Minute)
--- a/acaciaprocess/process.go
+++ b/acaciaprocess/process.go
@@ -38,6 +38,8 @@
 		server   *Server
 		metrics  *Server
 		stopping atomic.Bool
+		// leaving tells that the platform calls the VM leaving.
+		leaving atomic.Bool
 	}
 
 	// Platform is what a process meets of the platform.
@@ -148,6 +150,32 @@
 	}
 }
 
+// FollowOwnVM notes what a list says of the process's own VM. It reports whether that has
+// changed; Leaving tells to what.
+func (p *Process) FollowOwnVM(vms []acaciaroute.VM) bool {
+	for _, vm := range vms {
+		if vm.ID != p.Settings.Process.ID {
+			continue
+		}
+		leaving := vm.State == acaciaroute.VMLeaving
+		if p.leaving.Swap(leaving) == leaving {
+			return false
+		}
+		kind := acaciaevent.VMReturned
+		if leaving {
+			kind = acaciaevent.VMLeaving
+		}
+		p.Recorder.Record(acaciaevent.Event{Kind: kind})
+		return true
+	}
+	return false
+}
+
+// Leaving reports whether the platform calls the VM leaving.
+func (p *Process) Leaving() bool {
+	return p.leaving.Load()
+}
+
 // Stopping reports whether BeginStop was called.
 func (p *Process) Stopping() bool {
 	return p.stopping.Load()
--- a/acaciasystem/stop_test.go
+++ b/acaciasystem/stop_test.go
@@ -226,3 +226,25 @@
 		assert.Check(t, <-failed)
 	}
 }
+
+// The list may call a VM leaving that stays, or still call one so whose process is new.
+func TestVMThatIsLiveAgainServesAgain(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 1, 0)
+	engine, entry := c.engines[0], c.entries[0]
+	ready := func() bool { return c.reachable("http://" + entry.listen + "/readyz") }
+	list := func(state acaciaroute.VMState) {
+		for _, n := range []*node{engine, entry} {
+			n.vm.State = state
+			c.setVM(n.vm)
+		}
+	}
+	list(acaciaroute.VMLeaving)
+	waitFor(t, func() bool { return !ready() && strings.Contains(c.log(engine), `"vm_leaving"`) })
+	stop(t, engine.process)
+	c.startNode(engine)
+	waitFor(t, func() bool { return strings.Count(c.log(engine), `"vm_leaving"`) >= 2 })
+	list(acaciaroute.VMLive)
+	waitFor(t, ready)
+	wantModel(t, c.call(entry, http.MethodPost, "/v1/completions", modelBody("again", 5), nil), "again", 5)
+}
