Let requests wait a moment for a service without endpoints

Change: a request that no endpoint can be asked for waits for one, for a quarter of its time. A refusal says on the wire whether it is for the time (too_late); where no agent says so, the request is told 2003 and not 2001. A caller of a service without endpoints comes back after 2 to 4 s; the book of returns is for services that are full.

Ruled out: waiting for the whole slack, because a service may be gone for long and its callers want to know.

--- a/acaciachoice/chooser.go
+++ b/acaciachoice/chooser.go
@@ -91,6 +91,7 @@
 	for _, endpoint := range endpoints {
 		c.live[endpoint.ID] = endpoint.State == acaciaroute.VMLive
 	}
+	c.searchAgain()
 }
 
 // Waiting returns the number of requests that wait for a grant.
@@ -110,8 +111,7 @@
 		deadline:    now.Add(reservation.Slack),
 		done:        done,
 	}
-	r.candidates = c.candidates(reservation)
-	if len(r.candidates) < 2 {
+	if len(c.candidates(reservation)) < 2 {
 		r.reservation.Repeatable = false
 	}
 	c.requests[reservation.RequestID] = r
--- a/acaciachoice/request.go
+++ b/acaciachoice/request.go
@@ -19,6 +19,8 @@
 		asked       int
 		again       acaciaroute.Timer
 		expiry      acaciaroute.Timer
+		// away tells that the request waits until an endpoint can be asked.
+		away bool
 		// linkWanted tells that the request waits for the link to other regions.
 		linkWanted bool
 		done       func(Decision)
@@ -27,12 +29,20 @@
 )
 
 func (r *request) begin() {
+	slack := r.deadline.Sub(r.chooser.loop.Now())
+	r.expiry = r.chooser.loop.After(slack, func() { r.refuse(acaciaroute.CodeDeadlineTooNear) })
+	r.search()
+}
+
+// search looks for a place among all endpoints that are known now.
+func (r *request) search() {
+	r.away = false
+	r.candidates = r.chooser.candidates(r.reservation)
+	r.stage, r.asked = 0, 0
 	if len(r.candidates) == 0 {
-		r.refuse(acaciaroute.CodeNoEndpoint)
+		r.awaitEndpoint()
 		return
 	}
-	slack := r.deadline.Sub(r.chooser.loop.Now())
-	r.expiry = r.chooser.loop.After(slack, func() { r.refuse(acaciaroute.CodeDeadlineTooNear) })
 	r.askMore()
 }
 
@@ -41,10 +51,7 @@
 	if r.finished {
 		return
 	}
-	if r.again != nil {
-		r.again.Stop()
-		r.again = nil
-	}
+	r.stopAgain()
 	choice := r.chooser.policy.Choose(acaciaroute.Question{
 		Reservation: r.reservation,
 		YieldsFirst: r.yieldsFirst,
@@ -188,19 +195,24 @@
 		return
 	}
 	if r.asked == len(r.candidates) || r.reservation.Alone && queued(r.candidates) > 0 || r.yieldsFirst && queued(r.candidates) >= fewAsked {
-		r.refuse(r.shedCode())
+		if r.noneServes() {
+			r.awaitEndpoint()
+			return
+		}
+		r.refuse(acaciaroute.CodeShed)
 	}
 }
 
-// shedCode tells a request that was declined from one whose agents could not be
-// reached.
-func (r *request) shedCode() acaciaroute.Code {
+// noneServes reports whether every agent asked refuses all work or cannot be reached:
+// none has said that it would be too late for this request.
+func (r *request) noneServes() bool {
 	for i := range r.candidates {
-		if r.candidates[i].Asked && !r.candidates[i].Offer.Unreached {
-			return acaciaroute.CodeShed
+		offer := r.candidates[i].Offer
+		if r.candidates[i].Asked && (offer.Kind != acaciaroute.OfferRefused || offer.TooLate) {
+			return false
 		}
 	}
-	return acaciaroute.CodeNoEndpoint
+	return true
 }
 
 func (r *request) refuse(code acaciaroute.Code) {
@@ -216,7 +228,7 @@
 	}
 	r.finish("")
 	decision := r.decision(code)
-	refusal := Refusal{Class: r.reservation.Class, Slack: r.reservation.Slack, Wait: wait}
+	refusal := Refusal{Class: r.reservation.Class, Slack: r.reservation.Slack, Wait: wait, Unserved: code == acaciaroute.CodeNoEndpoint}
 	decision.RetryAfter = r.chooser.returns.After(r.chooser.loop.Now(), refusal)
 	r.done(decision)
 }
@@ -242,9 +254,7 @@
 	r.finished = true
 	r.wantLink(false)
 	delete(r.chooser.requests, r.reservation.RequestID)
-	if r.again != nil {
-		r.again.Stop()
-	}
+	r.stopAgain()
 	if r.expiry != nil {
 		r.expiry.Stop()
 	}
@@ -255,3 +265,10 @@
 		}
 	}
 }
+
+func (r *request) stopAgain() {
+	if r.again != nil {
+		r.again.Stop()
+		r.again = nil
+	}
+}
--- a/acaciachoice/returns.go
+++ b/acaciachoice/returns.go
@@ -21,6 +21,8 @@
 		// Slack is the time that the request had for its first token, and Wait when the
 		// agents expect a place.
 		Slack, Wait time.Duration
+		// Unserved tells that no endpoint could be asked: it is not for want of places.
+		Unserved bool
 	}
 
 	// returnsByWait sends callers back when the agents expect a place for them.
@@ -56,6 +58,9 @@
 	// callers who were refused together do not return together.
 	retrySpread = 0.25
 
+	// unservedPause is the least time until a caller comes back whose service had no
+	// endpoint, and the most that is added at random.
+	unservedPause = 2 * time.Second
 	// horizon is how far ahead the book goes, in times of a request's slack: callers
 	// who want an answer soon have no use for a later return.
 	horizon = 3
@@ -95,6 +100,9 @@
 
 // After implements Returns.
 func (b *returnBook) After(now time.Time, refusal Refusal) time.Duration {
+	if refusal.Unserved {
+		return unservedPause + time.Duration(b.random.Float64()*float64(unservedPause))
+	}
 	c := b.class(now, refusal.Class)
 	c.count(now)
 	earliest := min(max(refusal.Wait, minRetryAfter), maxRetryAfter)
--- a/acaciachoice/returns_test.go
+++ b/acaciachoice/returns_test.go
@@ -54,6 +54,12 @@
 				Slack: time.Duration(rapid.IntRange(-100, 60_000).Draw(t, "slack_ms")) * time.Millisecond,
 				Wait:  time.Duration(rapid.IntRange(0, 300_000).Draw(t, "wait_ms")) * time.Millisecond,
 			}
+			if rapid.Bool().Draw(t, "unserved") {
+				refusal.Unserved = true
+				after := book.After(now, refusal)
+				assert.Check(t, after >= unservedPause && after <= 2*unservedPause, "%s", after)
+				continue
+			}
 			after := book.After(now, refusal)
 			assert.Check(t, after >= minRetryAfter && after <= maxRetryAfter, "%s", after)
 			assert.Check(t, after <= max(horizon*refusal.Slack, refusal.Wait, minRetryAfter), "%s for %+v", after, refusal)
--- a/acaciawire/convert.go
+++ b/acaciawire/convert.go
@@ -80,6 +80,7 @@
 		Grant:        o.Grant,
 		WaitUs:       o.Wait.Microseconds(),
 		CachedTokens: int32(o.CachedTokens),
+		TooLate:      o.TooLate,
 		Hint: &Hint{
 			Free:                 int32(o.Hint.Free),
 			Waiting:              int32(o.Hint.Waiting),
@@ -102,6 +103,7 @@
 		Grant:        m.Grant,
 		Wait:         time.Duration(m.WaitUs) * time.Microsecond,
 		CachedTokens: int(m.CachedTokens),
+		TooLate:      m.TooLate,
 		Hint: acaciaroute.Hint{
 			Free:                 int(hint.GetFree()),
 			Waiting:              int(hint.GetWaiting()),
