--- a/acaciasystem/soak_test.go
+++ b/acaciasystem/soak_test.go
@@ -86,7 +86,13 @@
 )
 
 // regressionSeeds are seeds that once failed, with the cause.
-var regressionSeeds = map[uint64]string{}
+var regressionSeeds = map[uint64]string{
+	210: "a VM that was live again served nothing",
+	211: "requests did not wait for a service without endpoints",
+	217: "a VM that was live again served nothing",
+	221: "keys were counted while the log was away",
+	227: "a VM that was live again served nothing",
+}
 
 var soakFaults = []soakFault{
 	{"freeze", 5, func(x *disturber, d time.Duration) { x.with(x.node(), func(n *node) { x.freeze(n, d) }) }},
