--- a/acaciasystem/soak_test.go
+++ b/acaciasystem/soak_test.go
@@ -426,7 +426,7 @@
 // through the next entry.
 func (c *cluster) persist(caller, index, tries int) fate {
 	f := fate{body: fmt.Sprintf("booking %d of caller %d", index, caller), notRun: true}
-	const path = "/file?delay=50ms"
+	path := fmt.Sprintf("/file?delay=%dms", 20+index%5*100)
 	want := acaciastandin.PlainAnswer(http.MethodPost, path, f.body, 100)
 	for try := range tries {
 		entry := c.entries[(caller+index+try)%len(c.entries)]
@@ -442,7 +442,7 @@
 // fileOnce sends a request that may not be repeated, once.
 func (c *cluster) fileOnce(caller, index int) fate {
 	f := fate{body: fmt.Sprintf("drawing %d of caller %d", index, caller), notRun: true}
-	const path = "/file?delay=20ms"
+	path := fmt.Sprintf("/file?delay=%dms", 20+index%3*100)
 	want := acaciastandin.PlainAnswer(http.MethodPost, path, f.body, 100)
 	c.try(&f, c.entries[(caller+index)%len(c.entries)], http.MethodPost, "/services/archiv"+path, f.body, nil,
 		func(a answer) bool { return a.body == want })
@@ -463,7 +463,7 @@
 
 // generate sends a model request; its fate goes by the ID that it got.
 func (c *cluster) generate(caller, index int) fate {
-	const tokens = 30
+	tokens := 30 + index%3*150
 	f := fate{notRun: true}
 	prompt := fmt.Sprintf("log %d of caller %d", index, caller)
 	want := acaciastandin.AnswerText([]byte(fmt.Sprintf("%q", prompt)), tokens)
