Tell a request that has run at once when nobody else can serve it

Read in the diff: a request whose run broke off, and whose endpoint was the only one, now waited a quarter of its time for another before its caller was told what had become of it. It does not wait: endpoints that have run it will not run it again. Also, the age of a list that was never read is not told as two thousand years.

--- a/acaciachoice/chooser_test.go
+++ b/acaciachoice/chooser_test.go
@@ -414,3 +414,12 @@
 	assert.Check(t, retry >= unservedPause && retry <= 2*unservedPause, "%s", retry)
 	assert.Equal(t, b.chooser.Waiting(), 0)
 }
+
+func TestRequestThatHasRunDoesNotWaitForAnotherEndpoint(t *testing.T) {
+	b := newBench()
+	b.chooser.SetEndpoints([]Endpoint{{VM: acaciaroute.VM{ID: "e0", Address: "e0", Service: "s", Region: "ost", State: acaciaroute.VMLive}}})
+	reservation := acaciaroute.Reservation{RequestID: "r", Service: "s", Slack: 10 * time.Second, Avoid: []string{"e0"}}
+	b.chooser.Submit(reservation, false, func(d Decision) { b.decisions = append(b.decisions, d) })
+	assert.Equal(t, len(b.decisions), 1)
+	assert.Equal(t, b.decisions[0].Code, acaciaroute.CodeNoEndpoint)
+}
--- a/acaciachoice/request.go
+++ b/acaciachoice/request.go
@@ -39,11 +39,15 @@
 	r.away = false
 	r.candidates = r.chooser.candidates(r.reservation)
 	r.stage, r.asked = 0, 0
-	if len(r.candidates) == 0 {
+	switch {
+	case len(r.candidates) > 0:
+		r.askMore()
+	case len(r.reservation.Avoid) > 0:
+		// Its caller waits to be told of the run that broke off.
+		r.refuse(acaciaroute.CodeNoEndpoint)
+	default:
 		r.awaitEndpoint()
-		return
 	}
-	r.askMore()
 }
 
 // askMore asks the policy whom to ask next, until it names somebody or waits.
--- a/acaciaentry/serve.go
+++ b/acaciaentry/serve.go
@@ -147,9 +147,13 @@
 	inputs.RetryAfter = acaciaevent.Span(decision.RetryAfter)
 }
 
-// listAge returns how long ago the list of VMs was read.
+// listAge returns how long ago the list of VMs was read; zero if it never was.
 func (e *Entry) listAge() acaciatoml.Duration {
-	return acaciaevent.Since(e.process.Directory.ReadAt())
+	readAt := e.process.Directory.ReadAt()
+	if readAt.IsZero() {
+		return 0
+	}
+	return acaciaevent.Since(readAt)
 }
 
 // recordRepeat tells why a request looks for another place.
