--- a/acaciacapacity/slope_test.go
+++ b/acaciacapacity/slope_test.go
@@ -1,9 +1,11 @@
 package acaciacapacity
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"runtime"
 	"strings"
@@ -19,6 +21,7 @@
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciagrant"
 	"github.com/acaciaroute/acaciaroute/acaciakey"
+	"github.com/acaciaroute/acaciaroute/acacialog"
 	"github.com/acaciaroute/acaciaroute/acacialoop"
 	"github.com/acaciaroute/acaciaroute/acaciatarget"
 	"github.com/acaciaroute/acaciaroute/acaciawire"
@@ -247,18 +250,41 @@
 	})
 }
 
+// event is one of a request's, with what decided it.
+func event(i int) acaciaevent.Event {
+	return acaciaevent.Event{
+		Kind:      acaciaevent.RequestArrived,
+		RequestID: fmt.Sprintf("01a23efe-f3d5-7a74-941f-%012d", i),
+		Class:     "note",
+		Inputs:    &acaciaevent.Inputs{TargetsVersion: 7, Waited: acaciaevent.Span(time.Millisecond), Endpoints: 58, Asked: 2},
+	}
+}
+
 func BenchmarkMemoryOfEvent(b *testing.B) {
 	sizes(b, "events", []int{1000, 10_000}, func(b *testing.B, n int) {
 		held(b, n, func() any {
 			recorder := acaciaevent.NewRecorder("p", acaciaevent.NewClock(time.Now), logr.Discard(), n)
 			for i := range n {
-				recorder.Record(acaciaevent.Event{Kind: acaciaevent.RequestArrived, RequestID: fmt.Sprintf("01a23efe-f3d5-7a74-941f-%012d", i)})
+				recorder.Record(event(i))
 			}
 			return recorder
 		})
 	})
 }
 
+// BenchmarkLoggedEvent writes each event as a line, and beyond the limit leaves it out.
+func BenchmarkLoggedEvent(b *testing.B) {
+	sizes(b, "lines", []int{1, 1 << 30}, func(b *testing.B, n int) {
+		lines := acacialog.NewWriter(io.Discard, acacialog.DefaultBufferBytes)
+		log := logr.FromSlogHandler(acacialog.NewHandler(lines, acacialog.Settings{LinesPerSecond: n}))
+		recorder := acaciaevent.NewRecorder("p", acaciaevent.NewClock(time.Now), log, acaciaevent.DefaultCapacity)
+		for b.Loop() {
+			recorder.Record(event(0))
+		}
+		lines.Close(context.Background())
+	})
+}
+
 func BenchmarkMessageBytes(b *testing.B) {
 	full := reservation(1)
 	offer := acaciaroute.Offer{Kind: acaciaroute.OfferWaiting, Wait: time.Second, Hint: acaciaroute.Hint{Waiting: 10, Wait: time.Second, Gap: 30 * time.Millisecond, PrefillRate: 8000, ConfigurationVersion: 900}}
--- a/acaciachoice/chooser.go
+++ b/acaciachoice/chooser.go
@@ -111,9 +111,6 @@
 		deadline:    now.Add(reservation.Slack),
 		done:        done,
 	}
-	if len(c.candidates(reservation)) < 2 {
-		r.reservation.Repeatable = false
-	}
 	c.requests[reservation.RequestID] = r
 	r.begin()
 }
--- a/acaciachoice/request.go
+++ b/acaciachoice/request.go
@@ -39,6 +39,9 @@
 	r.away = false
 	r.candidates = r.chooser.candidates(r.reservation)
 	r.stage, r.asked = 0, 0
+	if len(r.candidates) < 2 {
+		r.reservation.Repeatable = false
+	}
 	switch {
 	case len(r.candidates) > 0:
 		r.askMore()
