--- a/acaciachoice/chooser.go
+++ b/acaciachoice/chooser.go
@@ -74,7 +74,7 @@
 		hints:    map[string]hintRecord{},
 		memory:   acaciaprefix.NewMemory(memoryPrefixes),
 		budget:   newLinkBudget(),
-		returns:  NewReturnBook(random),
+		returns:  NewReturnSchedule(random),
 		requests: map[string]*request{},
 	}
 }
--- a/acaciachoice/returns.go
+++ b/acaciachoice/returns.go
@@ -30,17 +30,17 @@
 		random *rand.Rand
 	}
 
-	// returnBook gives each caller a time of its own, in the order of their refusals.
+	// returnSchedule gives each caller a time of its own, in the order of their refusals.
 	//
 	// Load pattern: a crest that lasts. Callers who come back by the agents' word alone
 	// come back into the crest, all of them and often, and take the places of new ones.
-	// The book lets those of a class return at the rate at which the class gets places.
-	returnBook struct {
+	// The schedule lets those of a class return at the rate at which the class gets places.
+	returnSchedule struct {
 		random  *rand.Rand
 		classes map[string]*classReturns
 	}
 
-	// classReturns is what a book holds of one class.
+	// classReturns is what a schedule holds of one class.
 	classReturns struct {
 		// rate is the smoothed number of places a second.
 		rate    float64
@@ -61,7 +61,7 @@
 	// unservedPause is the least time until a caller comes back whose service had no
 	// endpoint, and the most that is added at random.
 	unservedPause = 2 * time.Second
-	// horizon is how far ahead the book goes, in times of a request's slack: callers
+	// horizon is how far ahead the schedule goes, in times of a request's slack: callers
 	// who want an answer soon have no use for a later return.
 	horizon = 3
 	// returnWindow is the time over which places are counted.
@@ -77,9 +77,9 @@
 	return &returnsByWait{random: random}
 }
 
-// NewReturnBook returns the rule that the system runs.
-func NewReturnBook(random *rand.Rand) Returns {
-	return &returnBook{random: random, classes: map[string]*classReturns{}}
+// NewReturnSchedule returns the rule that the system runs.
+func NewReturnSchedule(random *rand.Rand) Returns {
+	return &returnSchedule{random: random, classes: map[string]*classReturns{}}
 }
 
 // Granted implements Returns.
@@ -92,18 +92,18 @@
 }
 
 // Granted implements Returns.
-func (b *returnBook) Granted(now time.Time, class string) {
-	c := b.class(now, class)
+func (s *returnSchedule) Granted(now time.Time, class string) {
+	c := s.class(now, class)
 	c.count(now)
 	c.grants++
 }
 
 // After implements Returns.
-func (b *returnBook) After(now time.Time, refusal Refusal) time.Duration {
+func (s *returnSchedule) After(now time.Time, refusal Refusal) time.Duration {
 	if refusal.Unserved {
-		return unservedPause + time.Duration(b.random.Float64()*float64(unservedPause))
+		return unservedPause + time.Duration(s.random.Float64()*float64(unservedPause))
 	}
-	c := b.class(now, refusal.Class)
+	c := s.class(now, refusal.Class)
 	c.count(now)
 	earliest := min(max(refusal.Wait, minRetryAfter), maxRetryAfter)
 	latest := min(max(horizon*refusal.Slack, earliest), maxRetryAfter)
@@ -111,20 +111,20 @@
 		c.next = now.Add(earliest)
 	}
 	slot := time.Duration(float64(time.Second) / max(c.rate, minReturnRate))
-	after := c.next.Sub(now) + time.Duration(b.random.Float64()*float64(slot))
+	after := c.next.Sub(now) + time.Duration(s.random.Float64()*float64(slot))
 	if after > latest {
-		// The book is full: these callers come back spread over its last quarter.
-		return max(earliest, latest-time.Duration(b.random.Float64()*retrySpread*float64(latest)))
+		// The schedule is full: these callers come back spread over its last quarter.
+		return max(earliest, latest-time.Duration(s.random.Float64()*retrySpread*float64(latest)))
 	}
 	c.next = c.next.Add(slot)
 	return after
 }
 
-func (b *returnBook) class(now time.Time, name string) *classReturns {
-	c, ok := b.classes[name]
+func (s *returnSchedule) class(now time.Time, name string) *classReturns {
+	c, ok := s.classes[name]
 	if !ok {
 		c = &classReturns{counted: now}
-		b.classes[name] = c
+		s.classes[name] = c
 	}
 	return c
 }
--- a/acaciachoice/returns_test.go
+++ b/acaciachoice/returns_test.go
@@ -16,16 +16,16 @@
 		rate    = 10
 	)
 	now := time.Unix(1000, 0)
-	book := NewReturnBook(rand.New(rand.NewPCG(1, 1)))
+	schedule := NewReturnSchedule(rand.New(rand.NewPCG(1, 1)))
 	for range 30 {
 		for range rate {
-			book.Granted(now, "brief")
+			schedule.Granted(now, "brief")
 		}
 		now = now.Add(time.Second)
 	}
 	var returns []time.Time
 	for range refused {
-		after := book.After(now, Refusal{Class: "brief", Slack: time.Minute})
+		after := schedule.After(now, Refusal{Class: "brief", Slack: time.Minute})
 		returns = append(returns, now.Add(after))
 	}
 	slot := time.Second / rate
@@ -35,18 +35,18 @@
 	spread := returns[refused-1].Sub(returns[0])
 	assert.Check(t, spread > (refused-2)*slot/2 && spread < 2*refused*slot, "%s", spread)
 	// Another class is not held up by it.
-	other := book.After(now, Refusal{Class: "audit", Slack: time.Minute})
+	other := schedule.After(now, Refusal{Class: "audit", Slack: time.Minute})
 	assert.Check(t, other < minRetryAfter+2*time.Second+time.Second/2, "%s", other)
 }
 
 func TestRetryTimesAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		book := NewReturnBook(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
+		schedule := NewReturnSchedule(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
 		now := time.Unix(1000, 0)
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause_ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "granted") {
-				book.Granted(now, "c")
+				schedule.Granted(now, "c")
 				continue
 			}
 			refusal := Refusal{
@@ -56,11 +56,11 @@
 			}
 			if rapid.Bool().Draw(t, "unserved") {
 				refusal.Unserved = true
-				after := book.After(now, refusal)
+				after := schedule.After(now, refusal)
 				assert.Check(t, after >= unservedPause && after <= 2*unservedPause, "%s", after)
 				continue
 			}
-			after := book.After(now, refusal)
+			after := schedule.After(now, refusal)
 			assert.Check(t, after >= minRetryAfter && after <= maxRetryAfter, "%s", after)
 			assert.Check(t, after <= max(horizon*refusal.Slack, refusal.Wait, minRetryAfter), "%s for %+v", after, refusal)
 		}
@@ -68,11 +68,11 @@
 }
 
 // A class that gets no places must not count through all the time since.
-func TestBookIsReadAfterALongPause(t *testing.T) {
-	book := NewReturnBook(rand.New(rand.NewPCG(1, 1)))
+func TestScheduleIsReadAfterALongPause(t *testing.T) {
+	schedule := NewReturnSchedule(rand.New(rand.NewPCG(1, 1)))
 	now := time.Unix(1000, 0)
-	book.Granted(now, "c")
+	schedule.Granted(now, "c")
 	now = now.Add(100 * 365 * 24 * time.Hour)
-	after := book.After(now, Refusal{Class: "c", Slack: time.Second})
+	after := schedule.After(now, Refusal{Class: "c", Slack: time.Second})
 	assert.Check(t, after >= minRetryAfter && after <= horizon*time.Second, "%s", after)
 }
--- a/acaciaexperiment/returns_test.go
+++ b/acaciaexperiment/returns_test.go
@@ -17,7 +17,7 @@
 
 // Callers who come back by the agents' word alone ask three times as often as there is
 // use in it, and take places from those who ask for the first time.
-func TestReturnBookHasCallersAskLessOftenAndServesThemAsWell(t *testing.T) {
+func TestReturnScheduleHasCallersAskLessOftenAndServesThemAsWell(t *testing.T) {
 	const (
 		// leastServed allows for callers whose patience ends between two times.
 		leastServed = 0.98
@@ -28,16 +28,16 @@
 		t.Run(scenario.Name, func(t *testing.T) {
 			t.Parallel()
 			plain := playReturns(DalaShred, scenario, acaciachoice.NewReturnsByWait)
-			book := playReturns(DalaShred, scenario, acaciachoice.NewReturnBook)
-			last := len(book) - 1
-			for class, got := range book {
+			schedule := playReturns(DalaShred, scenario, acaciachoice.NewReturnSchedule)
+			last := len(schedule) - 1
+			for class, got := range schedule {
 				t.Logf("%s: at once %.3f and %.3f, in the end %.3f and %.3f, tries %.2f and %.2f, p90 %s and %s", got.Class,
 					plain[class].FirstTry, got.FirstTry, plain[class].Served, got.Served, plain[class].Tries, got.Tries, plain[class].Ninetieth, got.Ninetieth)
 				assert.Check(t, got.FirstTry >= least*plain[class].FirstTry, got.Class)
 				assert.Check(t, got.Served >= leastServed*plain[class].Served, got.Class)
 			}
-			assert.Check(t, book[last].Tries < plain[last].Tries)
-			assert.Check(t, book[last].FirstTry > plain[last].FirstTry)
+			assert.Check(t, schedule[last].Tries < plain[last].Tries)
+			assert.Check(t, schedule[last].FirstTry > plain[last].FirstTry)
 		})
 	}
 }
