Promise nothing of a key that nobody can decide on

The code spoke of the call; its caller can only take it for the request that the key names.

Ruled out: a second run (there was one), the agents' locks (nobody decided).

Change: key_undecided is 3006, with not_run false and Retry-After as before. An entry without targets answers so, too, if the request has a key.

--- a/acaciaentry/keyed.go
+++ b/acaciaentry/keyed.go
@@ -28,6 +28,8 @@
 )
 
 const (
+	// undecidedDetail is what is known of a call whose key nobody could decide on.
+	undecidedDetail = "this call did not run, and whether an earlier one with the key did is not known"
 	// keyAttempts bounds how often a caller's claim is made again because the
 	// holder turned out never to run.
 	keyAttempts  = 5
@@ -126,7 +128,7 @@
 	}
 	e.refuseKeyed(w, req, &acaciaroute.Error{
 		Code:       acaciaroute.CodeKeyUndecided,
-		Detail:     "others keep claiming the idempotency key; the request did not run",
+		Detail:     "others keep claiming the idempotency key; " + undecidedDetail,
 		RetryAfter: time.Second,
 	})
 }
@@ -142,7 +144,7 @@
 func (e *Entry) refuseUndecided(w http.ResponseWriter, req *request, err error) {
 	e.refuseKeyed(w, req, &acaciaroute.Error{
 		Code:       acaciaroute.CodeKeyUndecided,
-		Detail:     "who holds the idempotency key cannot be decided now; the request did not run",
+		Detail:     "who holds the idempotency key cannot be decided now; " + undecidedDetail,
 		RetryAfter: undecidedRetry,
 		Err:        err,
 	})
--- a/acaciaentry/outage.go
+++ b/acaciaentry/outage.go
@@ -229,7 +229,7 @@
 	if e.serveRepeat(w, r, req, holder) {
 		e.refuseKeyed(w, req, &acaciaroute.Error{
 			Code:       acaciaroute.CodeKeyUndecided,
-			Detail:     "the holder of the idempotency key did not run; the request did not run",
+			Detail:     "the holder of the idempotency key did not run; " + undecidedDetail,
 			RetryAfter: time.Second,
 		})
 	}
--- a/acaciaentry/routes.go
+++ b/acaciaentry/routes.go
@@ -67,7 +67,7 @@
 		current := e.process.Keeper.Current()
 		targets := current.Targets
 		if targets == nil {
-			e.refuse(w, &acaciaroute.Error{Code: acaciaroute.CodeNotReady, Detail: "no targets are in force", RetryAfter: time.Second})
+			e.refuse(w, notReady(r))
 			return
 		}
 		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
@@ -84,6 +84,15 @@
 	}
 }
 
+// notReady refuses a request while no targets are in force. Nothing is known then of an
+// earlier call with its key.
+func notReady(r *http.Request) error {
+	if r.Header.Get(headerKey) != "" {
+		return &acaciaroute.Error{Code: acaciaroute.CodeKeyUndecided, Detail: "no targets are in force; " + undecidedDetail, RetryAfter: time.Second}
+	}
+	return &acaciaroute.Error{Code: acaciaroute.CodeNotReady, Detail: "no targets are in force", RetryAfter: time.Second}
+}
+
 func (e *Entry) serveModels(w http.ResponseWriter, _ *http.Request, who caller) {
 	list := modelList{Object: "list", Data: []modelItem{}}
 	for _, service := range who.targets.Services {
--- a/acaciakey/registry.go
+++ b/acaciakey/registry.go
@@ -299,7 +299,7 @@
 func undecided(err error) error {
 	return &acaciaroute.Error{
 		Code:       acaciaroute.CodeKeyUndecided,
-		Detail:     "the platform's log did not decide who holds the idempotency key; the request did not run",
+		Detail:     "the platform's log did not decide who holds the idempotency key",
 		RetryAfter: undecidedRetry,
 		Err:        err,
 	}
--- a/acaciasystem/call_test.go
+++ b/acaciasystem/call_test.go
@@ -26,6 +26,8 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	// Without a second copy of the body the HTTP client sends the request once.
+	request.GetBody = nil
 	request.Header.Set("Authorization", "Bearer "+keyOf("hoehle"))
 	for name, value := range header {
 		request.Header.Set(name, value)
--- a/code.go
+++ b/code.go
@@ -51,7 +51,6 @@
 	CodeDeadlineTooNear Code = 2002
 	CodeNoEndpoint      Code = 2003
 	CodeNotReady        Code = 2004
-	CodeKeyUndecided    Code = 2005
 	CodeRefused         Code = 2007
 	CodeCancelled       Code = 2008
 	CodePoison          Code = 2009
@@ -61,6 +60,7 @@
 	CodeEngineFailed   Code = 3003
 	CodeAbandoned      Code = 3004
 	CodeTakenBack      Code = 3005
+	CodeKeyUndecided   Code = 3006
 
 	CodeBadSettings        Code = 4001
 	CodeBadTargets         Code = 4002
@@ -100,7 +100,6 @@
 	CodeDeadlineTooNear: {"deadline_too_near", http.StatusServiceUnavailable},
 	CodeNoEndpoint:      {"no_endpoint", http.StatusServiceUnavailable},
 	CodeNotReady:        {"not_ready", http.StatusServiceUnavailable},
-	CodeKeyUndecided:    {"key_undecided", http.StatusServiceUnavailable},
 	CodeRefused:         {"refused", http.StatusServiceUnavailable},
 	CodeCancelled:       {"cancelled", 499},
 	CodePoison:          {"poison", http.StatusUnprocessableEntity},
@@ -110,6 +109,7 @@
 	CodeEngineFailed:   {"engine_failed", http.StatusBadGateway},
 	CodeAbandoned:      {"abandoned", 499},
 	CodeTakenBack:      {"taken_back", http.StatusServiceUnavailable},
+	CodeKeyUndecided:   {"key_undecided", http.StatusServiceUnavailable},
 
 	CodeBadSettings:        {"bad_settings", http.StatusBadRequest},
 	CodeBadTargets:         {"bad_targets", http.StatusBadRequest},
