--- a/acaciasystem/soak_test.go
+++ b/acaciasystem/soak_test.go
@@ -88,6 +88,8 @@
 	217: "a VM that was live again served nothing",
 	221: "keys were counted while the log was away",
 	227: "a VM that was live again served nothing",
+	309: "not run was said of a key whose first call had run",
+	321: "not run was said of a key whose first call had run",
 }
 
 // TestRandomFaultsLoseAndDoubleNothing lets callers repeat their keys through other
