Check a grant against the time when it is used

Cause: TestLeavingEndpointWithAFrozenAgentGetsNothingNew failed once beside load: requests were dispatched 4.011 s after the VM began to leave. The agent had given their grants just before it was frozen; as it woke, the requests that waited in its connections came before the timers that end grants.

Ruled out: the list (the entries had it), new grants (none after the wake).

Change: Begin refuses a grant that is older than its half second, whether or not its timer has run. The request then looks for another place.

TestGrantOfAPausedAgentIsNotUsedAfterItsTime: fails before ("the grant was used after its time"), passes after. The system test has no other bound.

--- a/acaciagrant/granter.go
+++ b/acaciagrant/granter.go
@@ -77,6 +77,8 @@
 		grant  uint64
 		cached int
 		timer  acaciaroute.Timer
+		// expires is when the grant is no longer held, whether or not the timer has run.
+		expires time.Time
 	}
 )
 
--- a/acaciagrant/granter_test.go
+++ b/acaciagrant/granter_test.go
@@ -276,3 +276,30 @@
 		})
 	}
 }
+
+// pausedLoop is the loop of a process that was paused: time has gone on and its timers
+// have not run yet.
+type pausedLoop struct {
+	*acacialoop.Virtual
+	paused time.Duration
+}
+
+func (l *pausedLoop) Now() time.Time {
+	return l.Virtual.Now().Add(l.paused)
+}
+
+// A request that reaches an agent as it wakes comes before the timer of its grant.
+func TestGrantOfAPausedAgentIsNotUsedAfterItsTime(t *testing.T) {
+	loop := &pausedLoop{Virtual: acacialoop.NewVirtual(start)}
+	granter := New(loop, Settings{Plain: true, PlainLimit: 2})
+	grants := map[string]uint64{}
+	for _, id := range []string{"soon", "late"} {
+		granter.Reserve(acaciaroute.Reservation{RequestID: id, Class: "c", Slack: time.Minute}, func(offer acaciaroute.Offer) { grants[id] = offer.Grant })
+	}
+	loop.paused = DefaultHoldTime - time.Millisecond
+	_, ok := granter.Begin("soon", grants["soon"])
+	assert.Check(t, ok)
+	loop.paused = DefaultHoldTime
+	_, ok = granter.Begin("late", grants["late"])
+	assert.Check(t, !ok, "the grant was used after its time")
+}
--- a/acaciagrant/room.go
+++ b/acaciagrant/room.go
@@ -147,6 +147,7 @@
 	g.drain.add(g.loop.Now())
 	g.grants++
 	h := &hold{waiter: w, item: item, notify: w.notify, grant: g.grants, cached: g.cache.Cached(item.Prefixes)}
+	h.expires = g.loop.Now().Add(g.settings.HoldTime)
 	h.timer = g.loop.After(g.settings.HoldTime, func() {
 		if g.held[id] == h {
 			g.release(id)
--- a/acaciagrant/run.go
+++ b/acaciagrant/run.go
@@ -28,10 +28,11 @@
 )
 
 // Begin uses a grant: the request goes to the endpoint now. It returns false
-// when the grant is no longer held, and then the request must not be sent.
+// when the grant is no longer held, and then the request must not be sent. A process
+// that was paused goes by the time, because its timers may not have run yet.
 func (g *Granter) Begin(requestID string, grant uint64) (acaciaroute.Reservation, bool) {
 	h, ok := g.held[requestID]
-	if !ok || h.grant != grant {
+	if !ok || h.grant != grant || !g.loop.Now().Before(h.expires) {
 		return acaciaroute.Reservation{}, false
 	}
 	g.release(requestID)
