Pass requests straight to the platform's endpoints from a gateway on each entry VM

Cause: the users' platform speaks its own protocol, names no agent's place for plain services and bills every VM that runs a role (0.52 a second on an entry VM). The entry and its agents speak connect among themselves and presume a log of another form, so no request of the platform was served.

Ruled out: agents beside the engines (18 more billed processes, none beside the archive's endpoints, one more hop, one more process that is killed, frozen and replaced); reservations between gateways (60 ms between regions, and a lease to lose); a control process.

Change: `acaciaroute gateway`, one program on every entry VM. It reads configuration and endpoints from the store, decides with acaciaschedule (pure, time passed in), sends with acaciaupstream (knows of every failure whether the endpoint can have run the request), and tells the other gateways by datagrams what it runs and what quotas it has used (acaciapeer, acaciabudget). platform/ decodes the wire once.

--- a/acaciaevent/inputs.go
+++ b/acaciaevent/inputs.go
@@ -14,6 +14,8 @@
 	Inputs struct {
 		// TargetsVersion is the version of the targets by which a request was judged.
 		TargetsVersion acaciaroute.Offset `json:"targets_version,omitempty"`
+		// TargetsAge is how long ago that version came into force here.
+		TargetsAge acaciatoml.Duration `json:"targets_age,omitempty"`
 		// ListAge is how long ago the list of VMs was read.
 		ListAge acaciatoml.Duration `json:"list_age,omitempty"`
 		// Waited is the time since the request came to this process.
@@ -39,9 +41,11 @@
 
 		// Queued is how many reservations wait at the agent, Running how many requests
 		// its endpoint runs, Free how many more it would admit.
-		Queued  int `json:"queued,omitempty"`
-		Running int `json:"running,omitempty"`
-		Free    int `json:"free,omitempty"`
+		Queued int `json:"queued,omitempty"`
+		// PeersQueued is how many requests wait at other processes.
+		PeersQueued int `json:"peers_queued,omitempty"`
+		Running     int `json:"running,omitempty"`
+		Free        int `json:"free,omitempty"`
 		// ExpectedWait is the expected time until a place.
 		ExpectedWait acaciatoml.Duration `json:"expected_wait,omitempty"`
 		// ExpectedFirst is the expected time from a place to the first token.
--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -67,6 +67,8 @@
 	DependencyBack Kind = 516
 	CallFailed     Kind = 517
 	VMReturned     Kind = 518
+	PeerFound      Kind = 519
+	PeerLost       Kind = 520
 
 	LeaseTaken   Kind = 601
 	OrderIssued  Kind = 602
@@ -139,6 +141,8 @@
 	DependencyBack: "dependency_back",
 	CallFailed:     "call_failed",
 	VMReturned:     "vm_returned",
+	PeerFound:      "peer_found",
+	PeerLost:       "peer_lost",
 
 	LeaseTaken:   "lease_taken",
 	OrderIssued:  "order_issued",
--- /dev/null
+++ b/acaciagateway/exchange.go
@@ -0,0 +1,356 @@
+package acaciagateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	"github.com/acaciaroute/acaciaroute/acaciaschedule"
+	"github.com/acaciaroute/acaciaroute/acaciasite"
+	"github.com/acaciaroute/acaciaroute/acaciaupstream"
+	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
+)
+
+type (
+	// exchange is one request and its answer.
+	exchange struct {
+		gateway       *Gateway
+		w             http.ResponseWriter
+		r             *http.Request
+		asked         acaciasite.Request
+		arrived       time.Time
+		deadline      time.Time
+		configuration *published
+		route         *acaciasite.Route
+		organisation  *acaciasite.Organisation
+		service       string
+		body          []byte
+		content       uint64
+
+		// tried are the endpoints that must not get the request again, runs how many may
+		// have run it, refusals how many have said that they have not.
+		tried    []string
+		runs     int
+		refusals int
+		// at is the endpoint that has it now.
+		at *acaciasite.Endpoint
+		// began tells that the caller has the head of the answer, after which event the
+		// stream goes on.
+		began bool
+		after string
+	}
+
+	// result is how a call of an endpoint ended.
+	result int
+)
+
+const (
+	// resultAnswered: the caller has the whole answer, or the endpoint's own failure.
+	resultAnswered result = iota + 1
+	// resultNotRun: the endpoint has not run the request and never will.
+	resultNotRun
+	// resultBroken: the endpoint may have run the request, and its answer is not whole.
+	resultBroken
+	// resultGone: the caller has left, or has stopped reading.
+	resultGone
+)
+
+const (
+	// maxRefusals bounds how often one request is sent on after refusals.
+	maxRefusals = 6
+	// aliveTime bounds the check whether an endpoint that broke off still listens.
+	aliveTime = 300 * time.Millisecond
+)
+
+var errCallerGone = errors.New("the caller has left")
+
+// run finds a place for the request and calls endpoints until one has answered.
+func (x *exchange) run(ctx context.Context) {
+	organisation := ""
+	if x.organisation != nil {
+		organisation = x.organisation.Name
+	}
+	x.content = contentHash(x.r.Method, x.r.RequestURI, organisation, x.body)
+	if err := x.admit(); err != nil {
+		x.refuse(err, nil)
+		return
+	}
+	for {
+		want := x.want()
+		decision, err := x.wait(ctx, want)
+		if err != nil {
+			x.giveUp(ctx, &decision, err)
+			return
+		}
+		x.at = decision.Endpoint
+		event := x.event(acaciaevent.RequestDispatched)
+		event.Inputs = x.inputs(&decision)
+		x.gateway.recorder.Record(event)
+		ended, failure, err := x.call(ctx, want)
+		x.release(want, failure)
+		switch {
+		case ended == resultAnswered:
+			return
+		case ended == resultGone || ctx.Err() != nil:
+			x.stop(ctx, ended)
+			return
+		}
+		if !x.again(ctx, ended, failure, err) {
+			return
+		}
+	}
+}
+
+// admit charges the organisation and counts the request.
+func (x *exchange) admit() error {
+	var refusal error
+	g := x.gateway
+	ran := g.loop.Do(func() {
+		now := g.loop.Now()
+		if g.suspects.banned(x.content) {
+			refusal = acaciaroute.Errorf(acaciaroute.CodePoisonContent, "endpoints die that run this content")
+			return
+		}
+		g.repeats.Request(x.service, now)
+		if x.organisation == nil {
+			return
+		}
+		if ok, wait := g.quota.Take(x.organisation.Name, x.cost(), now); !ok {
+			refusal = &acaciaroute.Error{Code: acaciaroute.CodeQuota, Detail: "the organisation's quota is used up", RetryAfter: wait}
+		}
+	})
+	if !ran {
+		return acaciaroute.Errorf(acaciaroute.CodeNotReady, "the process ends")
+	}
+	return refusal
+}
+
+// wait waits for the scheduler's decision; an error says that the request gets no place.
+func (x *exchange) wait(ctx context.Context, want *acaciaschedule.Request) (acaciaschedule.Decision, error) {
+	g := x.gateway
+	decided := make(chan acaciaschedule.Decision, 1)
+	g.loop.Post(func() {
+		g.waiters[want] = decided
+		g.scheduler.Add(want)
+		g.step()
+	})
+	select {
+	case decision := <-decided:
+		if decision.Endpoint == nil {
+			return decision, &acaciaroute.Error{
+				Code: acaciaroute.CodeShed, Detail: "no endpoint has room in time", RetryAfter: decision.RetryAfter,
+			}
+		}
+		return decision, nil
+	case <-ctx.Done():
+	case <-g.loop.Done():
+	}
+	g.loop.Post(func() {
+		delete(g.waiters, want)
+		if !g.scheduler.Remove(want) {
+			g.scheduler.Release(want, g.loop.Now())
+			g.step()
+		}
+	})
+	return acaciaschedule.Decision{Request: want}, acaciaroute.Errorf(acaciaroute.CodeDeadlineTooNear, "no endpoint had room until the deadline")
+}
+
+// giveUp ends a request that got no place.
+func (x *exchange) giveUp(ctx context.Context, decision *acaciaschedule.Decision, err error) {
+	g := x.gateway
+	switch {
+	case x.r.Context().Err() != nil:
+		x.stop(ctx, resultGone)
+	case x.began:
+		x.cut("no other endpoint had room: " + err.Error())
+	case x.runs > 0:
+		x.refuse(&acaciaroute.Error{Code: acaciaroute.CodeOutcomeUnknown, Detail: "an endpoint failed and no other had room", Err: err}, decision)
+	default:
+		if x.organisation != nil {
+			g.loop.Post(func() { g.quota.Return(x.organisation.Name, x.cost()) })
+		}
+		x.refuse(err, decision)
+	}
+}
+
+// release gives the place back and notes how the endpoint did.
+func (x *exchange) release(want *acaciaschedule.Request, failure acaciaschedule.Failure) {
+	g := x.gateway
+	g.loop.Post(func() {
+		now := g.loop.Now()
+		if failure != 0 {
+			g.scheduler.Fail(want, failure, now)
+		}
+		g.scheduler.Release(want, now)
+		g.step()
+	})
+}
+
+// again decides whether a request that an endpoint has failed goes to another one; if
+// not, it answers the caller.
+func (x *exchange) again(ctx context.Context, ended result, failure acaciaschedule.Failure, err error) bool {
+	switch {
+	case ended == resultNotRun:
+		x.refusals++
+		if failure != acaciaschedule.FailedFull {
+			x.tried = append(x.tried, x.at.ID)
+		}
+		if x.refusals > maxRefusals || failure != acaciaschedule.FailedUnreached && !x.budget() {
+			x.giveUp(ctx, nil, &acaciaroute.Error{
+				Code: acaciaroute.CodeShed, Detail: "endpoints refused the request", RetryAfter: notReadyPause, Err: err,
+			})
+			return false
+		}
+	case !x.route.Repeatable() || x.runs >= x.route.MaxEndpoints || !x.budget():
+		if x.began {
+			x.cut(err.Error())
+			return false
+		}
+		x.refuse(&acaciaroute.Error{Code: acaciaroute.CodeOutcomeUnknown, Detail: "the endpoint's answer was not whole", Err: err}, nil)
+		return false
+	default:
+		x.tried = append(x.tried, x.at.ID)
+	}
+	event := x.event(acaciaevent.RequestRepeated)
+	event.Inputs, event.Detail = x.inputs(nil), err.Error()
+	x.gateway.recorder.Record(event)
+	return true
+}
+
+// budget reports whether the request may be sent once more.
+func (x *exchange) budget() bool {
+	allowed := false
+	g := x.gateway
+	g.loop.Do(func() { allowed = g.repeats.Repeat(x.service, g.members.Count(), g.loop.Now()) })
+	return allowed
+}
+
+// stop ends a request whose time is over or whose caller has left.
+func (x *exchange) stop(ctx context.Context, ended result) {
+	if x.r.Context().Err() != nil || ended == resultGone {
+		event := x.event(acaciaevent.RequestCancelled)
+		event.Inputs, event.Detail = x.inputs(nil), errCallerGone.Error()
+		x.gateway.recorder.Record(event)
+		x.gateway.metrics.answered(x, acaciaroute.CodeAbandoned)
+		panic(http.ErrAbortHandler)
+	}
+	if x.began {
+		x.cut("the time of the request is over")
+		return
+	}
+	x.refuse(&acaciaroute.Error{
+		Code: acaciaroute.CodeTimeout, Detail: "the endpoint did not answer in time", Err: ctx.Err(),
+	}, nil)
+}
+
+// cut breaks off an answer that has begun, so that it does not look whole.
+func (x *exchange) cut(reason string) {
+	event := x.event(acaciaevent.AnswerCut)
+	event.Code, event.Inputs, event.Detail = acaciaroute.CodeAnswerCut, x.inputs(nil), reason
+	x.gateway.recorder.Record(event)
+	x.gateway.metrics.answered(x, acaciaroute.CodeAnswerCut)
+	panic(http.ErrAbortHandler)
+}
+
+// call sends the request to the endpoint and relays the answer.
+func (x *exchange) call(ctx context.Context, want *acaciaschedule.Request) (result, acaciaschedule.Failure, error) {
+	organisation := ""
+	if x.organisation != nil {
+		organisation = x.organisation.Name
+	}
+	after := x.asked.After
+	if x.began {
+		after = x.after
+	}
+	answer, err := x.gateway.upstream.Start(ctx, acaciaupstream.Call{
+		Address: x.at.Address,
+		Method:  x.r.Method,
+		Target:  x.r.RequestURI,
+		Host:    x.r.Host,
+		Header: acaciaplatform.ForwardHeader(x.r.Header, acaciaplatform.Forward{
+			Endpoint: x.at.ID, Organisation: organisation, Left: time.Until(x.deadline), After: after,
+		}),
+		Body:    x.body,
+		Matches: x.matches,
+	})
+	if err != nil {
+		return x.failedStart(ctx, err)
+	}
+	defer answer.Close()
+	head := acaciaplatform.DecodeAnswer(answer.Header)
+	if head.NotRun {
+		failure, err := x.notRun(answer)
+		return resultNotRun, failure, err
+	}
+	x.runs++
+	x.gateway.loop.Post(func() { x.gateway.scheduler.First(want, x.gateway.loop.Now()) })
+	if answer.Status >= http.StatusInternalServerError && x.repeatsFailure() {
+		return resultBroken, acaciaschedule.FailedRequest, fmt.Errorf("the endpoint answered %d", answer.Status)
+	}
+	if answer.Status < http.StatusMultipleChoices && !head.Sealed {
+		return resultBroken, acaciaschedule.FailedBroken, errors.New("the answer carries no signature")
+	}
+	if x.route.Kind == acaciasite.KindStream && answer.Status == http.StatusOK {
+		return x.relayStream(ctx, answer)
+	}
+	return x.relayPlain(ctx, answer)
+}
+
+// matches tells whether an answer belongs to the request. Some refusals do not say.
+func (x *exchange) matches(header http.Header) bool {
+	head := acaciaplatform.DecodeAnswer(header)
+	return head.RequestID == x.asked.ID || head.RequestID == "" && head.NotRun
+}
+
+// repeatsFailure tells whether an endpoint's failure is worth another endpoint.
+func (x *exchange) repeatsFailure() bool {
+	return x.route.Repeatable() && x.runs < x.route.MaxEndpoints
+}
+
+// failedStart sorts a call that brought no answer.
+func (x *exchange) failedStart(ctx context.Context, err error) (result, acaciaschedule.Failure, error) {
+	if x.r.Context().Err() != nil {
+		x.runs++
+		return resultGone, 0, err
+	}
+	var failed *acaciaupstream.Error
+	if errors.As(err, &failed) && !failed.Reached {
+		return resultNotRun, acaciaschedule.FailedUnreached, err
+	}
+	x.runs++
+	x.suspect(ctx)
+	return resultBroken, acaciaschedule.FailedBroken, err
+}
+
+// notRun sorts a refusal of an endpoint.
+func (x *exchange) notRun(answer *acaciaupstream.Answer) (acaciaschedule.Failure, error) {
+	failure := acaciaschedule.FailedFull
+	if answer.Status == http.StatusMisdirectedRequest {
+		failure = acaciaschedule.FailedReplaced
+	}
+	if err := answer.Drain(); err != nil {
+		return failure, err
+	}
+	return failure, fmt.Errorf("the endpoint answered %d without running the request", answer.Status)
+}
+
+// suspect notes that an endpoint has died while it ran the request, if it has.
+func (x *exchange) suspect(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	checking, cancel := context.WithTimeout(ctx, aliveTime)
+	defer cancel()
+	if x.gateway.upstream.Alive(checking, x.at.Address) {
+		return
+	}
+	event := x.event(acaciaevent.EndpointDied)
+	event.KeyHash = fmt.Sprintf("%016x", x.content)
+	x.gateway.recorder.Record(event)
+	g := x.gateway
+	g.loop.Post(func() { g.suspects.died(x.content) })
+}
--- /dev/null
+++ b/acaciapeer/members_test.go
@@ -0,0 +1,66 @@
+package acaciapeer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestOnlyTheNewestWordOfTheNewestRunCounts(t *testing.T) {
+	m := NewMembers("self", "near")
+	for i, step := range []struct {
+		message Message
+		want    News
+	}{
+		{Message{Process: "self", Started: 1, Sequence: 1}, NewsNone},
+		{Message{Process: "p", Started: 1, Sequence: 5}, NewsStarted},
+		{Message{Process: "p", Started: 1, Sequence: 4}, NewsNone},
+		{Message{Process: "p", Started: 1, Sequence: 5}, NewsNone},
+		{Message{Process: "p", Started: 1, Sequence: 6}, NewsUpdate},
+		{Message{Process: "p", Started: 2, Sequence: 1}, NewsStarted},
+		{Message{Process: "p", Started: 1, Sequence: 7}, NewsNone},
+		{Message{Process: "p", Started: 2, Sequence: 2, Leaving: true}, NewsLeft},
+	} {
+		assert.Equal(t, m.Hear(step.message, "1.1.1.1:1", start), step.want, "step %d", i)
+	}
+	assert.Equal(t, m.Count(), 1)
+}
+
+func TestSilentProcessIsDroppedAndAskedForAgain(t *testing.T) {
+	m := NewMembers("self", "near")
+	m.Hear(Message{Process: "p", Started: 1, Sequence: 1, Region: "near"}, "1.1.1.1:1", start)
+	assert.Equal(t, len(m.Silent(start.Add(SilentTime-1))), 0)
+	assert.DeepEqual(t, m.Silent(start.Add(SilentTime)), []string{"p"})
+	assert.DeepEqual(t, m.Targets(start.Add(SilentTime)), []string{"1.1.1.1:1"})
+	assert.Equal(t, len(m.Targets(start.Add(SilentTime+hintTime-1))), 0)
+	assert.DeepEqual(t, m.Targets(start.Add(SilentTime+hintTime)), []string{"1.1.1.1:1"})
+}
+
+func TestFarProcessesAreToldLessOften(t *testing.T) {
+	m := NewMembers("self", "near")
+	m.Hear(Message{Process: "near", Started: 1, Sequence: 1, Region: "near"}, "1.1.1.1:1", start)
+	m.Hear(Message{Process: "far", Started: 1, Sequence: 1, Region: "far"}, "2.2.2.2:1", start)
+	told := map[string]int{}
+	for ms := 0; ms < 1000; ms += 20 {
+		for _, address := range m.Targets(start.Add(time.Duration(ms) * time.Millisecond)) {
+			told[address]++
+		}
+	}
+	assert.Equal(t, told["1.1.1.1:1"], 50)
+	assert.Equal(t, told["2.2.2.2:1"], 10)
+}
+
+func TestMessageSurvivesItsEncoding(t *testing.T) {
+	message := Message{
+		Process: "p", Started: 1, Sequence: 2, Region: "r", Version: 3, Running: map[string]int{"i": 1},
+		Waiting: map[string][]int{"m": {0, 2}}, Used: map[string]float64{"club": 1.5}, Crashes: map[uint64]int{1 << 63: 1},
+	}
+	data, err := message.Encode()
+	assert.NilError(t, err)
+	decoded, err := Decode(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, message)
+}
--- /dev/null
+++ b/acaciaschedule/place.go
@@ -0,0 +1,103 @@
+package acaciaschedule
+
+import (
+	"time"
+
+	"github.com/acaciaroute/acaciaroute/acaciasite"
+)
+
+type (
+	// endpoint is what the process knows of one endpoint.
+	endpoint struct {
+		info acaciasite.Endpoint
+		// gone tells that it is not listed any more.
+		gone bool
+		// own is how many requests of this process it runs.
+		own int
+		// peers is how many requests of each other process it runs.
+		peers map[string]report
+
+		slowness float64
+		observed int
+		failing  float64
+		inRow    int
+		spared   time.Time
+		// freeSince is when this process last ended a request there.
+		freeSince time.Time
+	}
+
+	// report is a number that another process has told, and when.
+	report struct {
+		count int
+		at    time.Time
+	}
+)
+
+const (
+	// reportTime is how long the word of a silent process counts.
+	reportTime = 3 * time.Second
+	// yieldTime is how long a free place is left to a more urgent request of another
+	// process, which may not have seen it yet.
+	yieldTime = 60 * time.Millisecond
+
+	// otherDataCentre and otherRegion stand for the price of the bytes that cross.
+	otherDataCentre = 8 * time.Millisecond
+	otherRegion     = 150 * time.Millisecond
+)
+
+// occupied is how many requests run at the endpoint, as far as the process knows.
+func (e *endpoint) occupied(now time.Time) int {
+	n := e.own
+	for _, told := range e.peers {
+		if now.Sub(told.at) < reportTime {
+			n += told.count
+		}
+	}
+	return n
+}
+
+// free is how many more requests the endpoint can run at once.
+func (e *endpoint) free(now time.Time) int {
+	if !e.usable() || now.Before(e.spared) {
+		return 0
+	}
+	return max(0, e.info.Places-e.occupied(now))
+}
+
+func (e *endpoint) usable() bool {
+	return !e.gone && !e.info.Leaving
+}
+
+// distance is the extra cost of an endpoint that stands elsewhere.
+func (s *Scheduler) distance(e *endpoint) time.Duration {
+	switch {
+	case e.info.DataCentre == s.settings.DataCentre:
+		return 0
+	case s.settings.Regions[e.info.DataCentre] == s.settings.Regions[s.settings.DataCentre]:
+		return otherDataCentre
+	}
+	return otherRegion
+}
+
+// place returns the endpoint with a free place that should answer a request soonest, nil
+// if none has one.
+func (s *Scheduler) place(v *service, request *Request, now time.Time) *endpoint {
+	var best *endpoint
+	var bestTime time.Duration
+	for _, id := range v.order {
+		e := v.endpoints[id]
+		if e.free(now) == 0 || request.tried(id) {
+			continue
+		}
+		expected := time.Duration(float64(v.expect(e, request, now))*e.reliability()) + s.distance(e)
+		expected += time.Duration(s.settings.Draw() * float64(expected) * spread)
+		if best == nil || expected < bestTime {
+			best, bestTime = e, expected
+		}
+	}
+	return best
+}
+
+// spread is the random part of an expected time, so that processes that see the same
+// do not choose the same.
+const spread = 0.1
--- /dev/null
+++ b/acaciaschedule/scheduler.go
@@ -0,0 +1,362 @@
+package acaciaschedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/acaciaroute/acaciaroute/acaciasite"
+)
+
+type (
+	// Settings fix where the process stands.
+	Settings struct {
+		DataCentre string
+		// Regions maps each data centre to its region.
+		Regions map[string]string
+		// Draw returns a random number from 0 up to 1.
+		Draw func() float64
+	}
+
+	// Request is one request that wants a place at an endpoint of a service.
+	Request struct {
+		ID           string
+		Service      string
+		Class        string
+		Organisation string
+		// Share is what the organisation may use in a second, in the units of Cost.
+		Share float64
+		// Cost is what the request counts for its organisation.
+		Cost float64
+		// Rank is 0 for the most urgent.
+		Rank         int
+		PromptTokens int
+		Arrived      time.Time
+		// Objective is when the first part of the answer is due.
+		Objective time.Time
+		// Deadline is when the caller gives up.
+		Deadline time.Time
+		// Tried are the endpoints that must not get it again.
+		Tried []string
+
+		late    bool
+		at      *endpoint
+		service *service
+		placed  time.Time
+		busy    float64
+	}
+
+	// Decision is what becomes of a waiting request.
+	Decision struct {
+		Request *Request
+		// Endpoint is where it runs; nil if it is refused.
+		Endpoint *acaciasite.Endpoint
+		// RetryAfter is when a refused caller should come back.
+		RetryAfter time.Duration
+		// Inputs are what decided.
+		Inputs Inputs
+	}
+
+	// Inputs are what a decision was made on.
+	Inputs struct {
+		// Endpoints is how many endpoints could serve the request, Free how many places
+		// they had.
+		Endpoints int
+		Free      int
+		// Waiting is how many requests waited here, PeersWaiting how many elsewhere.
+		Waiting      int
+		PeersWaiting int
+		// ExpectedWait is the expected time until a place, ExpectedFirst the one from
+		// there to the first part of the answer.
+		ExpectedWait  time.Duration
+		ExpectedFirst time.Duration
+		// OldestReport is the age of the oldest report of another process in use.
+		OldestReport time.Duration
+	}
+
+	// Report is what one process tells the others of its requests.
+	Report struct {
+		// Running counts its requests at each endpoint, by the endpoint's ID.
+		Running map[string]int
+		// Waiting counts its waiting requests of each service by rank.
+		Waiting map[string][]int
+	}
+
+	// Scheduler decides for one process; it is used by one goroutine.
+	Scheduler struct {
+		settings Settings
+		services map[string]*service
+		byID     map[string]*endpoint
+		// ownerOf maps an endpoint's ID to its service.
+		ownerOf map[string]*service
+	}
+
+	// service is a group of endpoints and the requests that wait for them.
+	service struct {
+		name      string
+		endpoints map[string]*endpoint
+		// order holds the IDs of endpoints, so that runs repeat.
+		order   []string
+		waiting []*Request
+		// peers holds, for each process, its waiting requests by rank.
+		peers map[string][]report
+		speed speed
+		// hold is how long a request takes a place.
+		hold time.Duration
+		// had is what each organisation has lately had, in seconds of its share.
+		had   map[string]float64
+		hadAt time.Time
+	}
+)
+
+// maxRank bounds the ranks that are told to other processes.
+const maxRank = 7
+
+// New returns a scheduler without endpoints.
+func New(settings Settings) *Scheduler {
+	return &Scheduler{
+		settings: settings,
+		services: map[string]*service{},
+		byID:     map[string]*endpoint{},
+		ownerOf:  map[string]*service{},
+	}
+}
+
+// Apply takes a change of the list of endpoints and returns whether it changed anything.
+func (s *Scheduler) Apply(change acaciasite.EndpointChange) bool {
+	known := s.byID[change.ID]
+	if change.Endpoint == nil {
+		if known == nil {
+			return false
+		}
+		s.forget(change.ID)
+		return true
+	}
+	info := *change.Endpoint
+	if known != nil && known.info.Born.Equal(info.Born) && known.info.Service == info.Service && known.info.Address == info.Address {
+		changed := known.info != info
+		known.info = info
+		return changed
+	}
+	s.forget(change.ID)
+	v := s.service(info.Service)
+	e := &endpoint{info: info, peers: map[string]report{}}
+	s.byID[info.ID], s.ownerOf[info.ID] = e, v
+	v.endpoints[info.ID] = e
+	v.order = append(v.order, info.ID)
+	slices.Sort(v.order)
+	return true
+}
+
+// Add puts a request in its service's queue.
+func (s *Scheduler) Add(request *Request) {
+	v := s.service(request.Service)
+	request.service = v
+	v.waiting = append(v.waiting, request)
+}
+
+// Remove takes a waiting request out and reports whether it waited.
+func (s *Scheduler) Remove(request *Request) bool {
+	v := request.service
+	at := slices.Index(v.waiting, request)
+	if at < 0 {
+		return false
+	}
+	v.waiting = slices.Delete(v.waiting, at, at+1)
+	return true
+}
+
+// First notes that the first part of a request's answer has come.
+func (s *Scheduler) First(request *Request, now time.Time) {
+	request.service.observe(request.at, request, now.Sub(request.placed), request.busy)
+	request.at.succeed()
+}
+
+// Fail notes how the endpoint failed a request.
+func (s *Scheduler) Fail(request *Request, failure Failure, now time.Time) {
+	request.at.fail(failure, now)
+}
+
+// Release gives a request's place back, if it has one.
+func (s *Scheduler) Release(request *Request, now time.Time) {
+	e, v := request.at, request.service
+	if e == nil {
+		return
+	}
+	e.own--
+	e.freeSince = now
+	v.hold += time.Duration(holdFade * float64(now.Sub(request.placed)-v.hold))
+	request.at = nil
+}
+
+// Hear takes the report of another process; a nil report forgets it.
+func (s *Scheduler) Hear(process string, told *Report, now time.Time) {
+	for _, e := range s.byID {
+		delete(e.peers, process)
+	}
+	for _, v := range s.services {
+		delete(v.peers, process)
+	}
+	if told == nil {
+		return
+	}
+	for id, count := range told.Running {
+		if e := s.byID[id]; e != nil {
+			e.peers[process] = report{count: count, at: now}
+		}
+	}
+	for name, ranks := range told.Waiting {
+		v := s.service(name)
+		for _, count := range ranks {
+			v.peers[process] = append(v.peers[process], report{count: count, at: now})
+		}
+	}
+}
+
+// Tell returns the report for the other processes.
+func (s *Scheduler) Tell() Report {
+	told := Report{Running: map[string]int{}, Waiting: map[string][]int{}}
+	for id, e := range s.byID {
+		if e.own > 0 {
+			told.Running[id] = e.own
+		}
+	}
+	for name, v := range s.services {
+		if len(v.waiting) == 0 {
+			continue
+		}
+		ranks := []int{}
+		for _, request := range v.waiting {
+			rank := min(max(request.Rank, 0), maxRank)
+			for len(ranks) <= rank {
+				ranks = append(ranks, 0)
+			}
+			ranks[rank]++
+		}
+		told.Waiting[name] = ranks
+	}
+	return told
+}
+
+// Step decides on the waiting requests; those that it returns wait no more.
+func (s *Scheduler) Step(now time.Time) []Decision {
+	var decisions []Decision
+	for _, v := range s.services {
+		if len(v.waiting) > 0 {
+			decisions = append(decisions, s.step(v, now)...)
+		}
+	}
+	return decisions
+}
+
+func (s *Scheduler) step(v *service, now time.Time) []Decision {
+	v.forgetShares(now)
+	v.sort(now)
+	var decisions []Decision
+	kept := v.waiting[:0:0]
+	queue := v.waiting
+	for i, request := range queue {
+		e := s.place(v, request, now)
+		if e != nil && s.yields(v, e, request, now) {
+			e = nil
+		}
+		v.waiting = append(slices.Clone(kept), queue[i:]...)
+		switch {
+		case e != nil:
+			decisions = append(decisions, Decision{Request: request, Inputs: s.inputs(v, request, now), Endpoint: &e.info})
+			s.take(v, e, request, now)
+		case !now.Before(request.Deadline) || v.hopeless(request, now):
+			decisions = append(decisions, Decision{Request: request, RetryAfter: s.retryAfter(v, request, now), Inputs: s.inputs(v, request, now)})
+		default:
+			kept = append(kept, request)
+		}
+	}
+	v.waiting = kept
+	return decisions
+}
+
+func (s *Scheduler) take(v *service, e *endpoint, request *Request, now time.Time) {
+	request.at, request.placed = e, now
+	request.busy = float64(e.occupied(now)) / float64(e.info.Places)
+	e.own++
+	if request.Share > 0 {
+		v.had[request.Organisation] += request.Cost / request.Share
+	}
+}
+
+// yields tells whether a free place is left to a more urgent request of another process.
+func (s *Scheduler) yields(v *service, e *endpoint, request *Request, now time.Time) bool {
+	if now.Sub(e.freeSince) >= yieldTime {
+		return false
+	}
+	urgent := v.peersWaiting(now, func(rank int) bool { return rank < request.Rank })
+	return urgent > 0 && urgent >= v.freePlaces(now)
+}
+
+func (v *service) freePlaces(now time.Time) int {
+	n := 0
+	for _, e := range v.endpoints {
+		n += e.free(now)
+	}
+	return n
+}
+
+// forgetShares lets what organisations have had fade, at the rate of their shares.
+func (v *service) forgetShares(now time.Time) {
+	passed := now.Sub(v.hadAt).Seconds()
+	v.hadAt = now
+	for name := range v.had {
+		v.had[name] = max(0, v.had[name]-passed)
+	}
+}
+
+func (s *Scheduler) inputs(v *service, request *Request, now time.Time) Inputs {
+	in := Inputs{
+		Free:          v.freePlaces(now),
+		Waiting:       len(v.waiting),
+		PeersWaiting:  v.peersWaiting(now, func(int) bool { return true }),
+		ExpectedWait:  v.wait(request, now),
+		ExpectedFirst: v.firstTime(request),
+	}
+	for _, e := range v.endpoints {
+		if e.usable() {
+			in.Endpoints++
+		}
+		for _, told := range e.peers {
+			in.OldestReport = max(in.OldestReport, now.Sub(told.at))
+		}
+	}
+	return in
+}
+
+func (s *Scheduler) service(name string) *service {
+	v := s.services[name]
+	if v == nil {
+		v = &service{
+			name:      name,
+			endpoints: map[string]*endpoint{},
+			peers:     map[string][]report{},
+			had:       map[string]float64{},
+			hold:      priorHold,
+		}
+		s.services[name] = v
+	}
+	return v
+}
+
+// forget takes an endpoint off the list; requests that run there end as they do.
+func (s *Scheduler) forget(id string) {
+	e := s.byID[id]
+	if e == nil {
+		return
+	}
+	e.gone = true
+	v := s.ownerOf[id]
+	delete(v.endpoints, id)
+	delete(s.byID, id)
+	delete(s.ownerOf, id)
+	v.order = slices.DeleteFunc(v.order, func(other string) bool { return other == id })
+}
+
+func (r *Request) tried(id string) bool {
+	return slices.Contains(r.Tried, id)
+}
--- /dev/null
+++ b/acaciaschedule/speed.go
@@ -0,0 +1,81 @@
+package acaciaschedule
+
+import "time"
+
+type (
+	// speed predicts the time to the first part of an answer from the size of the
+	// prompt, by a line through the observations of a service.
+	speed struct {
+		weight, x, y, xx, xy float64
+	}
+)
+
+const (
+	// speedFade is the factor by which an observation reduces the weight of older ones.
+	speedFade = 0.99
+	// priorBase and priorPerToken, in seconds, stand for an unknown service.
+	priorBase     = 0.03
+	priorPerToken = 0.00003
+	// priorSpread, in tokens, and priorWeight give the prior its weight.
+	priorSpread = 500
+	priorWeight = 4
+
+	// slownessFade is the weight of a new observation of an endpoint.
+	slownessFade = 0.25
+	minSlowness  = 0.2
+	maxSlowness  = 12
+	// crowding is how much slower a full endpoint is than an empty one.
+	crowding = 0.5
+)
+
+// add takes the time to the first part of an answer, in seconds, at an endpoint of usual
+// speed.
+func (s *speed) add(tokens, first float64) {
+	s.weight = speedFade*s.weight + 1
+	s.x = speedFade*s.x + tokens
+	s.y = speedFade*s.y + first
+	s.xx = speedFade*s.xx + tokens*tokens
+	s.xy = speedFade*s.xy + tokens*first
+}
+
+// first predicts, in seconds, the time to the first part of an answer.
+func (s *speed) first(tokens float64) float64 {
+	if s.weight == 0 {
+		return priorBase + priorPerToken*tokens
+	}
+	meanX, meanY := s.x/s.weight, s.y/s.weight
+	variance := s.xx - s.weight*meanX*meanX
+	covariance := s.xy - s.weight*meanX*meanY
+	prior := float64(priorWeight * priorSpread * priorSpread)
+	slope := max(0, (covariance+prior*priorPerToken)/(variance+prior))
+	return max(meanY+slope*(tokens-meanX), meanY/4)
+}
+
+// expect predicts the time to the first part of an answer at an endpoint.
+func (s *service) expect(e *endpoint, request *Request, now time.Time) time.Duration {
+	busy := float64(e.occupied(now)) / float64(e.info.Places)
+	predicted := s.speed.first(float64(request.PromptTokens)) * s.slowness(e) * (1 + crowding*busy)
+	return time.Duration(predicted * float64(time.Second))
+}
+
+// slowness is how many times longer an endpoint takes than its service's usual one; one
+// that nobody has tried yet counts as usual.
+func (s *service) slowness(e *endpoint) float64 {
+	if e.observed == 0 {
+		return 1
+	}
+	return e.slowness
+}
+
+// observe takes the time to the first part of an answer at an endpoint.
+func (s *service) observe(e *endpoint, request *Request, took time.Duration, busy float64) {
+	usual := s.speed.first(float64(request.PromptTokens)) * (1 + crowding*busy)
+	ratio := min(max(took.Seconds()/usual, minSlowness), maxSlowness)
+	if e.observed == 0 {
+		e.slowness = ratio
+	} else {
+		e.slowness += slownessFade * (ratio - e.slowness)
+	}
+	e.observed++
+	s.speed.add(float64(request.PromptTokens), took.Seconds()/(e.slowness*(1+crowding*busy)))
+}
--- /dev/null
+++ b/acaciastandin/store.go
@@ -0,0 +1,204 @@
+package acaciastandin
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+type (
+	// Store stands in for the platform's store of keyed records. It implements
+	// http.Handler.
+	Store struct {
+		mu     sync.Mutex
+		topics map[string]*keyedTopic
+		// down makes every call fail.
+		down bool
+	}
+
+	keyedTopic struct {
+		first   int64
+		records []keyedRecord
+		changed chan struct{}
+	}
+
+	keyedRecord struct {
+		key   string
+		value []byte
+	}
+
+	newestItem struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{topics: map[string]*keyedTopic{}}
+}
+
+// Put writes the record of a key; a nil value drops the key.
+func (s *Store) Put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topic)
+	t.records = append(t.records, keyedRecord{key: key, value: value})
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// PutJSON writes a value as JSON.
+func (s *Store) PutJSON(topic, key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	s.Put(topic, key, data)
+	return nil
+}
+
+// Forget drops the history of a topic, but for the newest record of each key.
+func (s *Store) Forget(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topic)
+	newest := t.newest()
+	t.first += int64(len(t.records))
+	t.records = nil
+	for _, item := range newest {
+		t.records = append(t.records, keyedRecord{key: item.Key, value: item.Value})
+	}
+}
+
+// SetDown makes every call fail, or no more.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case "/acaciaroute/log-newest":
+		s.serveNewest(w, r)
+	case "/acaciaroute/log-read":
+		s.serveRead(w, r)
+	case "/acaciaroute/log-append":
+		s.serveAppend(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	answer := struct {
+		Items   []newestItem `json:"items"`
+		HasMore bool         `json:"hasMore"`
+		End     int64        `json:"end"`
+	}{Items: t.newest(), End: t.end()}
+	// The caller of a stand-in sees a failed write itself.
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(query.Get("waitMs"))
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	for {
+		data, changed, ok := s.read(query.Get("topic"), from)
+		if !ok {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(data) > 16 || ctx.Err() != nil {
+			_, _ = w.Write(data)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// read returns the answer to a read, and a channel that closes with the next record.
+func (s *Store) read(topic string, from int64) ([]byte, <-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topic)
+	if from < t.first {
+		return nil, nil, false
+	}
+	data := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
+	data = binary.BigEndian.AppendUint64(data, uint64(t.first))
+	for _, record := range t.records[min(from-t.first, int64(len(t.records))):] {
+		data = binary.BigEndian.AppendUint32(data, uint32(1+len(record.key)+len(record.value)))
+		data = append(data, byte(len(record.key)))
+		data = append(data, record.key...)
+		data = append(data, record.value...)
+	}
+	return data, t.changed, true
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	// Four bytes of the record's length and one of the key's.
+	const headBytes = 5
+	data, err := io.ReadAll(r.Body)
+	if err != nil || len(data) < headBytes || len(data) < headBytes+int(data[headBytes-1]) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	key, value := data[headBytes:headBytes+int(data[headBytes-1])], data[headBytes+int(data[headBytes-1]):]
+	s.Put(r.URL.Query().Get("topic"), string(key), value)
+	_, _ = w.Write([]byte("{}"))
+}
+
+func (s *Store) topic(name string) *keyedTopic {
+	t := s.topics[name]
+	if t == nil {
+		t = &keyedTopic{changed: make(chan struct{})}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (t *keyedTopic) end() int64 {
+	return t.first + int64(len(t.records))
+}
+
+// newest returns the newest record of each key that has not been dropped, by offset.
+func (t *keyedTopic) newest() []newestItem {
+	var items []newestItem
+	for i, record := range t.records {
+		items = slices.DeleteFunc(items, func(item newestItem) bool { return item.Key == record.key })
+		if len(record.value) > 0 {
+			items = append(items, newestItem{Key: record.key, Value: record.value, Offset: t.first + int64(i)})
+		}
+	}
+	return items
+}
--- a/cmd/acaciaroute/main.go
+++ b/cmd/acaciaroute/main.go
@@ -54,6 +54,7 @@
 		Commands: []*cli.Command{
 			entryCommand(),
 			agentCommand(),
+			gatewayCommand(),
 			checkCommand(),
 			publishCommand(),
 			statusCommand(),
--- a/cmd/acaciaroute/run.go
+++ b/cmd/acaciaroute/run.go
@@ -110,11 +110,7 @@
 func runUntil(ctx context.Context, r runner, settings acaciasetting.Settings, lines *acacialog.Writer) error {
 	// A reader that closes standard output must not end the process.
 	signal.Ignore(syscall.SIGPIPE)
-	defer func() {
-		flushing, cancel := context.WithTimeout(context.Background(), flushTime)
-		defer cancel()
-		lines.Close(flushing)
-	}()
+	defer flush(lines)
 	if err := r.Start(context.Background()); err != nil {
 		return err
 	}
--- a/code.go
+++ b/code.go
@@ -46,6 +46,7 @@
 	CodeBadKey           Code = 1010
 	CodeMethodNotAllowed Code = 1011
 	CodeBodyTimeout      Code = 1012
+	CodeNoRoute          Code = 1013
 
 	CodeShed            Code = 2001
 	CodeDeadlineTooNear Code = 2002
@@ -54,6 +55,8 @@
 	CodeRefused         Code = 2007
 	CodeCancelled       Code = 2008
 	CodePoison          Code = 2009
+	CodeQuota           Code = 2010
+	CodePoisonContent   Code = 2011
 
 	CodeOutcomeUnknown Code = 3001
 	CodeAnswerCut      Code = 3002
@@ -61,6 +64,7 @@
 	CodeAbandoned      Code = 3004
 	CodeTakenBack      Code = 3005
 	CodeKeyUndecided   Code = 3006
+	CodeTimeout        Code = 3007
 
 	CodeBadSettings        Code = 4001
 	CodeBadTargets         Code = 4002
@@ -95,6 +99,7 @@
 	CodeBadKey:           {"bad_key", http.StatusBadRequest},
 	CodeMethodNotAllowed: {"method_not_allowed", http.StatusMethodNotAllowed},
 	CodeBodyTimeout:      {"body_timeout", http.StatusRequestTimeout},
+	CodeNoRoute:          {"no_route", http.StatusNotFound},
 
 	CodeShed:            {"shed", http.StatusServiceUnavailable},
 	CodeDeadlineTooNear: {"deadline_too_near", http.StatusServiceUnavailable},
@@ -103,6 +108,8 @@
 	CodeRefused:         {"refused", http.StatusServiceUnavailable},
 	CodeCancelled:       {"cancelled", 499},
 	CodePoison:          {"poison", http.StatusUnprocessableEntity},
+	CodeQuota:           {"quota", http.StatusTooManyRequests},
+	CodePoisonContent:   {"poison_content", http.StatusServiceUnavailable},
 
 	CodeOutcomeUnknown: {"outcome_unknown", http.StatusBadGateway},
 	CodeAnswerCut:      {"answer_cut", http.StatusBadGateway},
@@ -110,6 +117,7 @@
 	CodeAbandoned:      {"abandoned", 499},
 	CodeTakenBack:      {"taken_back", http.StatusServiceUnavailable},
 	CodeKeyUndecided:   {"key_undecided", http.StatusServiceUnavailable},
+	CodeTimeout:        {"timeout", http.StatusGatewayTimeout},
 
 	CodeBadSettings:        {"bad_settings", http.StatusBadRequest},
 	CodeBadTargets:         {"bad_targets", http.StatusBadRequest},
