--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
@@ -31,11 +32,14 @@
 		body          []byte
 		content       uint64
 
-		// tried are the endpoints that must not get the request again, runs how many may
-		// have run it, refusals how many have said that they have not.
+		// tried are the endpoints that must not get the request again, ran those that may
+		// have run it. runs counts the runs, refusals the answers that it did not run.
 		tried    []string
+		ran      []string
 		runs     int
 		refusals int
+		// prepaid tells that the budget for the next repeat has been taken.
+		prepaid bool
 		// at is the endpoint that has it now.
 		at *acaciasite.Endpoint
 		// began tells that the caller has the head of the answer, after which event the
@@ -60,6 +64,8 @@
 )
 
 const (
+	// maxRuns bounds how often one request runs, at as many endpoints as its route allows.
+	maxRuns = 4
 	// maxRefusals bounds how often one request is sent on after refusals.
 	maxRefusals = 6
 	// aliveTime bounds the check whether an endpoint that broke off still listens.
@@ -90,7 +96,7 @@
 		event := x.event(acaciaevent.RequestDispatched)
 		event.Inputs = x.inputs(&decision)
 		x.gateway.recorder.Record(event)
-		ended, failure, err := x.call(ctx, want)
+		ended, failure, err := x.watch(ctx, want, decision.Inputs.ExpectedHere)
 		x.release(want, failure)
 		switch {
 		case ended == resultAnswered:
@@ -119,7 +125,7 @@
 		if x.organisation == nil {
 			return
 		}
-		if ok, wait := g.quota.Take(x.organisation.Name, x.cost(), now); !ok {
+		if ok, wait := g.quota.Take(x.organisation.Name, x.cost(), g.scheduler.Spare(x.service, now), now); !ok {
 			refusal = &acaciaroute.Error{Code: acaciaroute.CodeQuota, Detail: "the organisation's quota is used up", RetryAfter: wait}
 		}
 	})
@@ -171,7 +177,7 @@
 		x.refuse(&acaciaroute.Error{Code: acaciaroute.CodeOutcomeUnknown, Detail: "an endpoint failed and no other had room", Err: err}, decision)
 	default:
 		if x.organisation != nil {
-			g.loop.Post(func() { g.quota.Return(x.organisation.Name, x.cost()) })
+			g.loop.Post(func() { g.quota.Return(x.organisation.Name, x.cost(), g.loop.Now()) })
 		}
 		x.refuse(err, decision)
 	}
@@ -205,15 +211,18 @@
 			})
 			return false
 		}
-	case !x.route.Repeatable() || x.runs >= x.route.MaxEndpoints || !x.budget():
+	case !x.repeatable() || !x.budget():
 		if x.began {
 			x.cut(err.Error())
 			return false
 		}
 		x.refuse(&acaciaroute.Error{Code: acaciaroute.CodeOutcomeUnknown, Detail: "the endpoint's answer was not whole", Err: err}, nil)
 		return false
-	default:
+	case len(x.ran) < x.route.MaxEndpoints:
 		x.tried = append(x.tried, x.at.ID)
+	default:
+		// Only those that had it may have it once more.
+		x.tried = nil
 	}
 	event := x.event(acaciaevent.RequestRepeated)
 	event.Inputs, event.Detail = x.inputs(nil), err.Error()
@@ -221,14 +230,31 @@
 	return true
 }
 
+// repeatable tells whether the request may run once more.
+func (x *exchange) repeatable() bool {
+	return x.route.Repeatable() && x.runs < maxRuns
+}
+
 // budget reports whether the request may be sent once more.
 func (x *exchange) budget() bool {
+	if x.prepaid {
+		x.prepaid = false
+		return true
+	}
 	allowed := false
 	g := x.gateway
 	g.loop.Do(func() { allowed = g.repeats.Repeat(x.service, g.members.Count(), g.loop.Now()) })
 	return allowed
 }
 
+// ranHere notes that the endpoint may have run the request.
+func (x *exchange) ranHere() {
+	x.runs++
+	if !slices.Contains(x.ran, x.at.ID) {
+		x.ran = append(x.ran, x.at.ID)
+	}
+}
+
 // stop ends a request whose time is over or whose caller has left.
 func (x *exchange) stop(ctx context.Context, ended result) {
 	if x.r.Context().Err() != nil || ended == resultGone {
@@ -257,7 +283,7 @@
 }
 
 // call sends the request to the endpoint and relays the answer.
-func (x *exchange) call(ctx context.Context, want *acaciaschedule.Request) (result, acaciaschedule.Failure, error) {
+func (x *exchange) call(ctx context.Context, want *acaciaschedule.Request, dog *watchdog) (result, acaciaschedule.Failure, error) {
 	organisation := ""
 	if x.organisation != nil {
 		organisation = x.organisation.Name
@@ -278,7 +304,7 @@
 		Matches: x.matches,
 	})
 	if err != nil {
-		return x.failedStart(ctx, err)
+		return x.failedStart(ctx, dog, err)
 	}
 	defer answer.Close()
 	head := acaciaplatform.DecodeAnswer(answer.Header)
@@ -286,18 +312,19 @@
 		failure, err := x.notRun(answer)
 		return resultNotRun, failure, err
 	}
-	x.runs++
+	x.ranHere()
 	x.gateway.loop.Post(func() { x.gateway.scheduler.First(want, x.gateway.loop.Now()) })
-	if answer.Status >= http.StatusInternalServerError && x.repeatsFailure() {
+	if answer.Status >= http.StatusInternalServerError && x.repeatable() && x.budget() {
+		x.prepaid = true
 		return resultBroken, acaciaschedule.FailedRequest, fmt.Errorf("the endpoint answered %d", answer.Status)
 	}
 	if answer.Status < http.StatusMultipleChoices && !head.Sealed {
 		return resultBroken, acaciaschedule.FailedBroken, errors.New("the answer carries no signature")
 	}
 	if x.route.Kind == acaciasite.KindStream && answer.Status == http.StatusOK {
-		return x.relayStream(ctx, answer)
+		return x.relayStream(ctx, answer, dog)
 	}
-	return x.relayPlain(ctx, answer)
+	return x.relayPlain(ctx, answer, dog)
 }
 
 // matches tells whether an answer belongs to the request. Some refusals do not say.
@@ -306,22 +333,20 @@
 	return head.RequestID == x.asked.ID || head.RequestID == "" && head.NotRun
 }
 
-// repeatsFailure tells whether an endpoint's failure is worth another endpoint.
-func (x *exchange) repeatsFailure() bool {
-	return x.route.Repeatable() && x.runs < x.route.MaxEndpoints
-}
-
 // failedStart sorts a call that brought no answer.
-func (x *exchange) failedStart(ctx context.Context, err error) (result, acaciaschedule.Failure, error) {
+func (x *exchange) failedStart(ctx context.Context, dog *watchdog, err error) (result, acaciaschedule.Failure, error) {
 	if x.r.Context().Err() != nil {
-		x.runs++
+		x.ranHere()
 		return resultGone, 0, err
 	}
 	var failed *acaciaupstream.Error
 	if errors.As(err, &failed) && !failed.Reached {
 		return resultNotRun, acaciaschedule.FailedUnreached, err
 	}
-	x.runs++
+	x.ranHere()
+	if dog.barked() {
+		return resultBroken, acaciaschedule.FailedSilent, errSilent
+	}
 	x.suspect(ctx)
 	return resultBroken, acaciaschedule.FailedBroken, err
 }
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -90,7 +90,9 @@
 		scheduler: acaciaschedule.New(acaciaschedule.Settings{
 			DataCentre: settings.DataCentre, Regions: settings.Regions, Draw: rand.Float64,
 		}),
-		quota: acaciabudget.NewQuota(),
+		quota: acaciabudget.NewQuota(acaciabudget.QuotaSettings{
+			Window: settings.QuotaWindow, Overrun: settings.QuotaOverrun, Slack: settings.QuotaSlack,
+		}),
 		repeats: acaciabudget.NewRepeats(acaciabudget.RepeatSettings{
 			Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack, Window: settings.RepeatWindow,
 		}),
@@ -107,24 +109,24 @@
 // Start opens the gateway's addresses and returns; it serves until Close.
 func (g *Gateway) Start(ctx context.Context) error {
 	g.recorder.Record(acaciaevent.Event{Kind: acaciaevent.ProcessStarted, Detail: "gateway in " + g.settings.DataCentre})
-	if err := g.listenPeers(ctx); err != nil {
-		return err
-	}
 	ready := http.NewServeMux()
 	ready.HandleFunc(acaciaplatform.ReadyPattern, g.serveReady)
 	for _, s := range []struct {
-		address string
+		address *string
 		handler http.Handler
 	}{
-		{g.settings.CallerAddress, http.HandlerFunc(g.serve)},
-		{g.settings.ReadyAddress, ready},
-		{g.settings.PeerAddress, g.peerHandler()},
-		{g.settings.MetricsAddress, g.metrics.handler()},
+		{&g.settings.CallerAddress, http.HandlerFunc(g.serve)},
+		{&g.settings.ReadyAddress, ready},
+		{&g.settings.PeerAddress, g.peerHandler()},
+		{&g.settings.MetricsAddress, g.metrics.handler()},
 	} {
 		if err := g.listen(ctx, s.address, s.handler); err != nil {
 			return err
 		}
 	}
+	if err := g.listenPeers(ctx); err != nil {
+		return err
+	}
 	for _, run := range []func(context.Context){g.hearPeers, g.followConfiguration, g.followEndpoints, g.followPeers, g.beat} {
 		worker := acacialoop.NewWorker()
 		worker.Start(ctx, run)
@@ -161,12 +163,18 @@
 	return errors.Join(err, g.socket.Close())
 }
 
-// listen serves an address until Close.
-func (g *Gateway) listen(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+// CallerURL returns the base URL at which a started gateway takes requests.
+func (g *Gateway) CallerURL() string {
+	return "http://" + g.settings.CallerAddress
+}
+
+// listen serves an address until Close; a port of 0 is replaced by the one it got.
+func (g *Gateway) listen(ctx context.Context, address *string, handler http.Handler) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", *address)
 	if err != nil {
 		return err
 	}
+	*address = listener.Addr().String()
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTime,
--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -90,6 +90,7 @@
 			for _, name := range g.members.Silent(now) {
 				g.forgetPeer(name)
 			}
+			g.quota.SetShare(g.members.Share(now))
 			g.tell()
 			g.metrics.observe(g)
 		})
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -28,12 +28,15 @@
 var errEventTooLong = errors.New("an event is too long")
 
 // relayPlain reads an answer whole and passes it on.
-func (x *exchange) relayPlain(ctx context.Context, answer *acaciaupstream.Answer) (result, acaciaschedule.Failure, error) {
+func (x *exchange) relayPlain(ctx context.Context, answer *acaciaupstream.Answer, dog *watchdog) (result, acaciaschedule.Failure, error) {
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			return resultGone, 0, err
 		}
+		if dog.barked() {
+			return resultBroken, acaciaschedule.FailedSilent, errSilent
+		}
 		x.suspect(ctx)
 		return resultBroken, acaciaschedule.FailedBroken, err
 	}
@@ -54,7 +57,7 @@
 }
 
 // relayStream passes whole events on as they come.
-func (x *exchange) relayStream(ctx context.Context, answer *acaciaupstream.Answer) (result, acaciaschedule.Failure, error) {
+func (x *exchange) relayStream(ctx context.Context, answer *acaciaupstream.Answer, dog *watchdog) (result, acaciaschedule.Failure, error) {
 	flusher := http.NewResponseController(x.w)
 	var pending []byte
 	buffer := make([]byte, streamBytes)
@@ -63,6 +66,7 @@
 		pending = append(pending, buffer[:n]...)
 		whole, rest, eventErr := x.split(pending)
 		if len(whole) > 0 {
+			dog.feed(max(eventSilence, gapFactor*x.route.MaxGap))
 			x.begin(answer)
 			if _, err := x.w.Write(whole); err != nil {
 				return resultGone, 0, err
@@ -88,6 +92,9 @@
 		if x.r.Context().Err() != nil {
 			return resultGone, 0, err
 		}
+		if dog.barked() {
+			return resultBroken, acaciaschedule.FailedSilent, errSilent
+		}
 		if ctx.Err() == nil {
 			answer.Close()
 			x.suspect(ctx)
--- a/acaciagateway/serve.go
+++ b/acaciagateway/serve.go
@@ -149,6 +149,9 @@
 	if x.organisation != nil {
 		want.Organisation, want.Share = x.organisation.Name, x.organisation.Rate
 	}
+	if len(x.ran) >= x.route.MaxEndpoints {
+		want.Only = x.ran
+	}
 	if x.began {
 		want.Rank, want.Objective = urgentRank, time.Now()
 	}
--- a/acaciagateway/watch.go
+++ b/acaciagateway/watch.go
@@ -33,8 +33,8 @@
 const (
 	// configurationWait keeps calls few, and short enough that a connection that has
 	// gone silent does not delay a version beyond its time.
-	configurationWait = 1200 * time.Millisecond
-	endpointsPause    = 400 * time.Millisecond
+	configurationWait = 2 * time.Second
+	endpointsPause    = 700 * time.Millisecond
 	peersPause        = 4 * time.Second
 	// retryPause is the mean pause after a failed call.
 	retryPause = 150 * time.Millisecond
--- /dev/null
+++ b/acaciagateway/watchdog.go
@@ -0,0 +1,97 @@
+package acaciagateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/acaciaroute/acaciaroute/acaciaschedule"
+	"github.com/acaciaroute/acaciaroute/acaciasite"
+)
+
+type (
+	// watchdog breaks a call off whose endpoint has fallen silent, if the request can go
+	// to another one now.
+	watchdog struct {
+		timer *time.Timer
+		ctx   context.Context
+		limit time.Duration
+		// movable tells whether the request may go to another endpoint at all.
+		movable bool
+	}
+)
+
+const (
+	// silenceFactor is how many times longer than expected the first part of an answer
+	// may take before another endpoint is tried, after firstSilence or plainSilence.
+	silenceFactor = 4
+	firstSilence  = 500 * time.Millisecond
+	plainSilence  = 250 * time.Millisecond
+	// eventSilence is how long a stream may pause, or gapFactor times what its route
+	// allows.
+	eventSilence = 900 * time.Millisecond
+	gapFactor    = 3
+)
+
+var errSilent = errors.New("the endpoint has fallen silent")
+
+// watch calls the endpoint under a watchdog.
+func (x *exchange) watch(ctx context.Context, want *acaciaschedule.Request, expected time.Duration) (result, acaciaschedule.Failure, error) {
+	called, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := silenceFactor*expected + plainSilence
+	if x.route.Kind == acaciasite.KindStream {
+		limit = silenceFactor*expected + firstSilence
+	}
+	dog := &watchdog{ctx: called, limit: limit, movable: x.movable(want)}
+	dog.timer = time.AfterFunc(limit, func() { x.bark(want, dog, cancel) })
+	defer dog.timer.Stop()
+	ended, failure, err := x.call(called, want, dog)
+	// The watchdog has paid for what it broke off.
+	x.prepaid = x.prepaid || dog.barked()
+	return ended, failure, err
+}
+
+// movable tells whether the request may go to another endpoint than the one that gets it
+// now.
+func (x *exchange) movable(want *acaciaschedule.Request) bool {
+	if !x.route.Repeatable() || x.runs+1 >= maxRuns {
+		return false
+	}
+	ran := len(x.ran)
+	if !slices.Contains(x.ran, x.at.ID) {
+		ran++
+	}
+	return ran < x.route.MaxEndpoints || len(want.Only) > 1
+}
+
+// bark breaks the call off if the request may be sent again and another endpoint has
+// room; if not, it looks again later.
+func (x *exchange) bark(want *acaciaschedule.Request, dog *watchdog, cancel context.CancelCauseFunc) {
+	g := x.gateway
+	g.loop.Post(func() {
+		if dog.ctx.Err() != nil {
+			return
+		}
+		now := g.loop.Now()
+		if !dog.movable {
+			return
+		}
+		if !g.scheduler.Elsewhere(want, now) || !g.repeats.Repeat(x.service, g.members.Count(), now) {
+			dog.timer.Reset(dog.limit)
+			return
+		}
+		cancel(errSilent)
+	})
+}
+
+// feed notes progress; limit is how long the next one may take.
+func (d *watchdog) feed(limit time.Duration) {
+	d.timer.Reset(limit)
+}
+
+// barked tells whether the call was broken off because its endpoint was silent.
+func (d *watchdog) barked() bool {
+	return errors.Is(context.Cause(d.ctx), errSilent)
+}
--- a/acaciapeer/members.go
+++ b/acaciapeer/members.go
@@ -13,6 +13,8 @@
 		members map[string]*member
 		// hints are addresses from settings and from the store, which may be wrong.
 		hints map[string]time.Time
+		// lost are processes that have fallen silent, and when.
+		lost map[string]time.Time
 	}
 
 	member struct {
@@ -45,13 +47,16 @@
 	SilentTime = 3 * time.Second
 	// hintTime is the time between messages to an address that nobody has answered from.
 	hintTime = time.Second
+	// lostTime is how long a process that has fallen silent may still be alive behind a
+	// cut.
+	lostTime = 20 * time.Second
 	// farTime is the least time between messages to another region.
 	farTime = 100 * time.Millisecond
 )
 
 // NewMembers returns the members as a process of a region sees them at its start.
 func NewMembers(self, region string) *Members {
-	return &Members{self: self, region: region, members: map[string]*member{}, hints: map[string]time.Time{}}
+	return &Members{self: self, region: region, members: map[string]*member{}, hints: map[string]time.Time{}, lost: map[string]time.Time{}}
 }
 
 // Hint adds an address at which a process may listen.
@@ -90,6 +95,7 @@
 	}
 	known.started, known.sequence = message.Started, message.Sequence
 	known.region, known.address, known.heard = message.Region, address, now
+	delete(m.lost, message.Process)
 	return news
 }
 
@@ -100,6 +106,7 @@
 		if now.Sub(known.heard) >= SilentTime {
 			m.Hint(known.address)
 			delete(m.members, name)
+			m.lost[name] = now
 			silent = append(silent, name)
 		}
 	}
@@ -135,10 +142,13 @@
 	return len(m.members) + 1
 }
 
-// Address returns where a process listens, empty if it is not known.
-func (m *Members) Address(process string) string {
-	if known := m.members[process]; known != nil {
-		return known.address
+// Share returns the part of the processes that may be alive which can be heard: 1 if all
+// can.
+func (m *Members) Share(now time.Time) float64 {
+	for name, since := range m.lost {
+		if now.Sub(since) >= lostTime {
+			delete(m.lost, name)
+		}
 	}
-	return ""
+	return float64(m.Count()) / float64(m.Count()+len(m.lost))
 }
--- a/acaciapeer/members_test.go
+++ b/acaciapeer/members_test.go
@@ -39,6 +39,22 @@
 	assert.DeepEqual(t, m.Targets(start.Add(SilentTime+hintTime)), []string{"1.1.1.1:1"})
 }
 
+func TestProcessBehindACutIsReckonedWith(t *testing.T) {
+	m := NewMembers("self", "near")
+	for i, name := range []string{"a", "b", "c"} {
+		m.Hear(Message{Process: name, Started: 1, Sequence: 1}, "1.1.1.1:1", start.Add(time.Duration(i)*time.Second))
+	}
+	assert.Equal(t, m.Share(start), 1.0)
+	m.Silent(start.Add(SilentTime))
+	assert.Equal(t, m.Share(start.Add(SilentTime)), 0.75)
+	m.Hear(Message{Process: "a", Started: 1, Sequence: 2}, "1.1.1.1:1", start.Add(SilentTime+1))
+	assert.Equal(t, m.Share(start.Add(SilentTime+1)), 1.0)
+	m.Silent(start.Add(2 * SilentTime))
+	assert.Check(t, m.Share(start.Add(2*SilentTime)) < 1)
+	m.Silent(start.Add(time.Minute))
+	assert.Equal(t, m.Share(start.Add(2*time.Minute)), 1.0)
+}
+
 func TestFarProcessesAreToldLessOften(t *testing.T) {
 	m := NewMembers("self", "near")
 	m.Hear(Message{Process: "near", Started: 1, Sequence: 1, Region: "near"}, "1.1.1.1:1", start)
--- a/acaciaschedule/failure.go
+++ b/acaciaschedule/failure.go
@@ -15,6 +15,8 @@
 	FailedFull
 	// FailedBroken is an answer that broke off or could not be read.
 	FailedBroken
+	// FailedSilent is an answer that did not go on.
+	FailedSilent
 	// FailedUnreached is a connection that could not be made.
 	FailedUnreached
 	// FailedReplaced says that another endpoint has the address.
@@ -54,7 +56,7 @@
 		pause = fullPause
 	case FailedReplaced:
 		pause = replacedPause
-	case FailedBroken, FailedUnreached:
+	case FailedBroken, FailedSilent, FailedUnreached:
 		pause = min(firstPause<<min(e.inRow, maxDoublings), maxPause)
 		e.inRow++
 	}
--- a/acaciaschedule/queue.go
+++ b/acaciaschedule/queue.go
@@ -14,9 +14,8 @@
 	holdFade = 0.05
 	// priorHold stands for a service that has ended no request yet.
 	priorHold = 500 * time.Millisecond
-	// minReturn and returnSpread bound when a caller is told to come back.
-	minReturn    = 200 * time.Millisecond
-	returnSpread = 0.5
+	// minReturn is the least time after which a caller is told to come back.
+	minReturn = 200 * time.Millisecond
 	// returnShare is the longest part of the time left that callers honour.
 	returnShare = 1.0 / 3
 )
@@ -106,8 +105,10 @@
 // retryAfter is when a refused caller should come back: when the queue before it should
 // be gone, spread so that callers do not return together, and within what they honour.
 func (s *Scheduler) retryAfter(v *service, request *Request, now time.Time) time.Duration {
+	longest := time.Duration(returnShare * float64(request.Deadline.Sub(now)))
 	after := max(v.wait(request, now), minReturn)
-	after += time.Duration(s.settings.Draw() * returnSpread * float64(after))
-	left := request.Deadline.Sub(now)
-	return max(min(after, time.Duration(returnShare*float64(left))), 0)
+	if after >= longest {
+		return max(longest, 0)
+	}
+	return after + time.Duration(s.settings.Draw()*float64(longest-after))
 }
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -37,6 +37,8 @@
 		Deadline time.Time
 		// Tried are the endpoints that must not get it again.
 		Tried []string
+		// Only, if it holds any, are the endpoints that may get it.
+		Only []string
 
 		late    bool
 		at      *endpoint
@@ -69,6 +71,9 @@
 		// there to the first part of the answer.
 		ExpectedWait  time.Duration
 		ExpectedFirst time.Duration
+		// ExpectedHere is the expected time to the first part of the answer at the chosen
+		// endpoint.
+		ExpectedHere time.Duration
 		// OldestReport is the age of the oldest report of another process in use.
 		OldestReport time.Duration
 	}
@@ -167,8 +172,28 @@
 
 // First notes that the first part of a request's answer has come.
 func (s *Scheduler) First(request *Request, now time.Time) {
-	request.service.observe(request.at, request, now.Sub(request.placed), request.busy)
-	request.at.succeed()
+	e := request.at
+	e.unanswered = slices.DeleteFunc(e.unanswered, func(other *Request) bool { return other == request })
+	request.service.observe(e, request, now.Sub(request.placed), request.busy)
+	e.succeed()
+}
+
+// Spare reports whether a service has free places and nothing waits for them.
+func (s *Scheduler) Spare(name string, now time.Time) bool {
+	v := s.service(name)
+	return len(v.waiting) == 0 && v.peersWaiting(now, func(int) bool { return true }) == 0 && v.freePlaces(now) > 0
+}
+
+// Elsewhere reports whether another endpoint than the one that has a request has room for
+// it now.
+func (s *Scheduler) Elsewhere(request *Request, now time.Time) bool {
+	for _, id := range request.service.order {
+		e := request.service.endpoints[id]
+		if e != request.at && !request.tried(id) && e.free(now) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // Fail notes how the endpoint failed a request.
@@ -183,6 +208,7 @@
 		return
 	}
 	e.own--
+	e.unanswered = slices.DeleteFunc(e.unanswered, func(other *Request) bool { return other == request })
 	e.freeSince = now
 	v.hold += time.Duration(holdFade * float64(now.Sub(request.placed)-v.hold))
 	request.at = nil
@@ -262,7 +288,10 @@
 		v.waiting = append(slices.Clone(kept), queue[i:]...)
 		switch {
 		case e != nil:
-			decisions = append(decisions, Decision{Request: request, Inputs: s.inputs(v, request, now), Endpoint: &e.info})
+			inputs := s.inputs(v, request, now)
+			inputs.ExpectedHere = v.expect(e, request, now)
+			info := e.info
+			decisions = append(decisions, Decision{Request: request, Inputs: inputs, Endpoint: &info})
 			s.take(v, e, request, now)
 		case !now.Before(request.Deadline) || v.hopeless(request, now):
 			decisions = append(decisions, Decision{Request: request, RetryAfter: s.retryAfter(v, request, now), Inputs: s.inputs(v, request, now)})
@@ -278,6 +307,7 @@
 	request.at, request.placed = e, now
 	request.busy = float64(e.occupied(now)) / float64(e.info.Places)
 	e.own++
+	e.unanswered = append(e.unanswered, request)
 	if request.Share > 0 {
 		v.had[request.Organisation] += request.Cost / request.Share
 	}
@@ -358,5 +388,5 @@
 }
 
 func (r *Request) tried(id string) bool {
-	return slices.Contains(r.Tried, id)
+	return slices.Contains(r.Tried, id) || len(r.Only) > 0 && !slices.Contains(r.Only, id)
 }
--- a/acaciaschedule/speed.go
+++ b/acaciaschedule/speed.go
@@ -26,6 +26,9 @@
 	maxSlowness  = 12
 	// crowding is how much slower a full endpoint is than an empty one.
 	crowding = 0.5
+	// silenceFactor is how many times longer than expected an endpoint may be silent
+	// before it counts as slower.
+	silenceFactor = 2
 )
 
 // add takes the time to the first part of an answer, in seconds, at an endpoint of usual
@@ -67,6 +70,17 @@
 	return e.slowness
 }
 
+// silence is the factor by which an endpoint counts as slower that has not answered for
+// longer than expected: a straggler is seen before its answers come.
+func (s *service) silence(e *endpoint, now time.Time) float64 {
+	if len(e.unanswered) == 0 {
+		return 1
+	}
+	oldest := e.unanswered[0]
+	expected := s.speed.first(float64(oldest.PromptTokens)) * s.slowness(e) * (1 + crowding)
+	return max(1, now.Sub(oldest.placed).Seconds()/(silenceFactor*expected))
+}
+
 // observe takes the time to the first part of an answer at an endpoint.
 func (s *service) observe(e *endpoint, request *Request, took time.Duration, busy float64) {
 	usual := s.speed.first(float64(request.PromptTokens)) * (1 + crowding*busy)
