Ask the store half as often, and let long streams leave slow engines

A resumable stream that has used three quarters of its time goes on at an engine that is 1.8 times faster, if one has room.

--- a/acaciabudget/quota.go
+++ b/acaciabudget/quota.go
@@ -17,7 +17,7 @@
 		accounts map[string]*account
 		// heard is what each other process has told to have used.
 		heard map[string]map[string]float64
-		// share is the part of each quota that the process may use by itself.
+		// share is the part of each quota that the processes in touch may use.
 		share float64
 	}
 
@@ -32,8 +32,7 @@
 
 	account struct {
 		rate, burst float64
-		// slots hold what all processes have used, by part of the window; own what this
-		// process has.
+		// slots hold what all processes have used, by part of the window.
 		slots [quotaSlots]used
 		// total is what this process has used since its start.
 		total float64
@@ -43,7 +42,6 @@
 	used struct {
 		slot int64
 		all  float64
-		own  float64
 	}
 )
 
@@ -56,7 +54,7 @@
 	priorUse = 0.9
 	// tolerated is the part of the tolerance that is given out on purpose; the rest is
 	// for what processes have not yet heard of each other.
-	tolerated = 0.6
+	tolerated = 0.8
 )
 
 // NewQuota returns quotas of no organisation.
@@ -79,8 +77,8 @@
 	}
 }
 
-// SetShare sets the part of each quota that the process may use by itself; it is below 1
-// while other processes may be alive that it cannot hear.
+// SetShare sets the part of each quota that the processes in touch may use together; it
+// is below 1 while others may be alive behind a cut.
 func (q *Quota) SetShare(share float64) {
 	q.share = share
 }
@@ -97,13 +95,13 @@
 	if spare {
 		limit += tolerated * (q.settings.Overrun*limit + q.settings.Slack)
 	}
-	all, own := a.sum(q.slot(now))
-	over := max(all+cost-limit, own+cost-limit*q.share)
+	all := a.sum(q.slot(now))
+	over := all + cost - limit*q.share
 	// A request that is larger than the whole limit passes when nothing else is used.
 	if over > 0 && all > 0 {
 		return false, q.wait(a, over, now)
 	}
-	a.add(cost, cost, q.slot(now))
+	a.add(cost, q.slot(now))
 	a.total += cost
 	return true, 0
 }
@@ -111,7 +109,7 @@
 // Return gives back the charge of a request that did not run.
 func (q *Quota) Return(organisation string, cost float64, now time.Time) {
 	if a := q.accounts[organisation]; a != nil && a.rate > 0 {
-		a.add(-cost, -cost, q.slot(now))
+		a.add(-cost, q.slot(now))
 		a.total -= cost
 	}
 }
@@ -137,7 +135,7 @@
 	}
 	for name, n := range total {
 		if a := q.accounts[name]; a != nil {
-			a.add(n-last[name], 0, q.slot(now))
+			a.add(n-last[name], q.slot(now))
 		}
 	}
 }
@@ -172,26 +170,25 @@
 // assume fills the whole window.
 func (a *account) assume(each float64, current int64) {
 	for slot := current - quotaSlots + 1; slot <= current; slot++ {
-		a.add(each, 0, slot)
+		a.add(each, slot)
 	}
 }
 
-func (a *account) add(all, own float64, slot int64) {
+func (a *account) add(cost float64, slot int64) {
 	u := &a.slots[slot%quotaSlots]
 	if u.slot != slot {
 		*u = used{slot: slot}
 	}
-	u.all += all
-	u.own += own
+	u.all += cost
 }
 
 // sum returns what was used in the window.
-func (a *account) sum(current int64) (all, own float64) {
+func (a *account) sum(current int64) float64 {
+	all := 0.0
 	for _, u := range a.slots {
 		if current-u.slot < quotaSlots {
 			all += u.all
-			own += u.own
 		}
 	}
-	return all, own
+	return all
 }
--- a/acaciaevent/inputs.go
+++ b/acaciaevent/inputs.go
@@ -25,6 +25,11 @@
 		// FirstByte is the time from arrival to the first byte of the answer.
 		FirstByte acaciatoml.Duration `json:"first_byte,omitempty"`
 
+		// PromptTokens is the length of the prompt, OutputTokens the longest answer asked
+		// for, Events how many events of a stream the caller has.
+		PromptTokens int `json:"prompt_tokens,omitempty"`
+		OutputTokens int `json:"output_tokens,omitempty"`
+		Events       int `json:"events,omitempty"`
 		// Endpoints is how many endpoints could serve the request.
 		Endpoints int `json:"endpoints,omitempty"`
 		// Asked is how many of them were asked for a place; Declined how many of those
--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -44,8 +44,11 @@
 		at *acaciasite.Endpoint
 		// began tells that the caller has the head of the answer, after which event the
 		// stream goes on.
-		began bool
-		after string
+		began   bool
+		beganAt time.Time
+		after   string
+		// events is how many events the caller has.
+		events int
 	}
 
 	// result is how a call of an endpoint ended.
@@ -322,7 +325,7 @@
 		return resultBroken, acaciaschedule.FailedBroken, errors.New("the answer carries no signature")
 	}
 	if x.route.Kind == acaciasite.KindStream && answer.Status == http.StatusOK {
-		return x.relayStream(ctx, answer, dog)
+		return x.relayStream(ctx, answer, want, dog)
 	}
 	return x.relayPlain(ctx, answer, dog)
 }
@@ -345,7 +348,7 @@
 	}
 	x.ranHere()
 	if dog.barked() {
-		return resultBroken, acaciaschedule.FailedSilent, errSilent
+		return resultBroken, dog.failure(), dog.reason()
 	}
 	x.suspect(ctx)
 	return resultBroken, acaciaschedule.FailedBroken, err
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -23,6 +23,8 @@
 	maxAnswerBytes = 32 << 20
 	streamBytes    = 16 << 10
 	maxEventBytes  = 1 << 20
+	// minPaced is how many events tell the pace of an endpoint.
+	minPaced = 4
 )
 
 var errEventTooLong = errors.New("an event is too long")
@@ -35,7 +37,7 @@
 			return resultGone, 0, err
 		}
 		if dog.barked() {
-			return resultBroken, acaciaschedule.FailedSilent, errSilent
+			return resultBroken, dog.failure(), dog.reason()
 		}
 		x.suspect(ctx)
 		return resultBroken, acaciaschedule.FailedBroken, err
@@ -57,7 +59,7 @@
 }
 
 // relayStream passes whole events on as they come.
-func (x *exchange) relayStream(ctx context.Context, answer *acaciaupstream.Answer, dog *watchdog) (result, acaciaschedule.Failure, error) {
+func (x *exchange) relayStream(ctx context.Context, answer *acaciaupstream.Answer, want *acaciaschedule.Request, dog *watchdog) (result, acaciaschedule.Failure, error) {
 	flusher := http.NewResponseController(x.w)
 	var pending []byte
 	buffer := make([]byte, streamBytes)
@@ -82,6 +84,7 @@
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			x.begin(answer)
 			x.delivered(answer.Status)
+			x.paced(want)
 			return resultAnswered, 0, nil
 		case errors.Is(err, io.EOF):
 			err = io.ErrUnexpectedEOF
@@ -93,7 +96,7 @@
 			return resultGone, 0, err
 		}
 		if dog.barked() {
-			return resultBroken, acaciaschedule.FailedSilent, errSilent
+			return resultBroken, dog.failure(), dog.reason()
 		}
 		if ctx.Err() == nil {
 			answer.Close()
@@ -109,6 +112,7 @@
 		return
 	}
 	x.began = true
+	x.beganAt = time.Now()
 	x.head(answer)
 	x.w.WriteHeader(answer.Status)
 	event := x.event(acaciaevent.FirstToken)
@@ -117,6 +121,15 @@
 	x.gateway.metrics.first(x, time.Since(x.arrived))
 }
 
+// paced notes how fast the events of a stream came that ran at one endpoint.
+func (x *exchange) paced(want *acaciaschedule.Request) {
+	if x.events < minPaced || x.runs > 1 {
+		return
+	}
+	g, pace := x.gateway, time.Since(x.beganAt)/time.Duration(x.events-1)
+	g.loop.Post(func() { g.scheduler.Paced(want, pace) })
+}
+
 // split returns the whole events at the start of data, and the rest. An event that does
 // not follow the last one is an error.
 func (x *exchange) split(data []byte) (whole, rest []byte, err error) {
@@ -154,6 +167,7 @@
 			return fmt.Errorf("event %d follows %d", number, last)
 		}
 		x.after = id
+		x.events++
 	}
 	return nil
 }
--- a/acaciagateway/serve.go
+++ b/acaciagateway/serve.go
@@ -202,7 +202,13 @@
 
 // inputs returns what decided an event about the request.
 func (x *exchange) inputs(decision *acaciaschedule.Decision) *acaciaevent.Inputs {
-	inputs := &acaciaevent.Inputs{Waited: acaciaevent.Since(x.arrived), Attempts: x.runs}
+	inputs := &acaciaevent.Inputs{
+		Waited:       acaciaevent.Since(x.arrived),
+		Attempts:     x.runs,
+		PromptTokens: x.asked.PromptTokens,
+		OutputTokens: x.asked.OutputTokens,
+		Events:       x.events,
+	}
 	if x.configuration != nil {
 		inputs.TargetsVersion = acaciaroute.Offset(x.configuration.Version)
 		inputs.TargetsAge = acaciaevent.Since(x.configuration.at)
--- a/acaciagateway/watch.go
+++ b/acaciagateway/watch.go
@@ -31,11 +31,11 @@
 )
 
 const (
-	// configurationWait keeps calls few, and short enough that a connection that has
-	// gone silent does not delay a version beyond its time.
-	configurationWait = 2 * time.Second
-	endpointsPause    = 700 * time.Millisecond
-	peersPause        = 4 * time.Second
+	// configurationWait and the pauses keep calls few; a connection that has gone silent
+	// is found by the probes of its dialer.
+	configurationWait = 4 * time.Second
+	endpointsPause    = 1500 * time.Millisecond
+	peersPause        = 15 * time.Second
 	// retryPause is the mean pause after a failed call.
 	retryPause = 150 * time.Millisecond
 	// putAttempts is how often a gateway tries to write its own entry.
--- a/acaciagateway/watchdog.go
+++ b/acaciagateway/watchdog.go
@@ -15,6 +15,7 @@
 	// to another one now.
 	watchdog struct {
 		timer *time.Timer
+		slow  *time.Timer
 		ctx   context.Context
 		limit time.Duration
 		// movable tells whether the request may go to another endpoint at all.
@@ -32,9 +33,16 @@
 	// allows.
 	eventSilence = 900 * time.Millisecond
 	gapFactor    = 3
+	// moveShare is the part of a stream's time after which it may move to a faster
+	// endpoint; moveAgain is the time between two looks for one.
+	moveShare = 0.75
+	moveAgain = 300 * time.Millisecond
 )
 
-var errSilent = errors.New("the endpoint has fallen silent")
+var (
+	errSilent = errors.New("the endpoint has fallen silent")
+	errSlow   = errors.New("the endpoint is too slow for the rest of the stream")
+)
 
 // watch calls the endpoint under a watchdog.
 func (x *exchange) watch(ctx context.Context, want *acaciaschedule.Request, expected time.Duration) (result, acaciaschedule.Failure, error) {
@@ -47,12 +55,34 @@
 	dog := &watchdog{ctx: called, limit: limit, movable: x.movable(want)}
 	dog.timer = time.AfterFunc(limit, func() { x.bark(want, dog, cancel) })
 	defer dog.timer.Stop()
+	whole := x.deadline.Sub(x.arrived)
+	dog.slow = time.AfterFunc(time.Duration(moveShare*float64(whole))-time.Since(x.arrived), func() { x.move(want, dog, cancel) })
+	defer dog.slow.Stop()
 	ended, failure, err := x.call(called, want, dog)
-	// The watchdog has paid for what it broke off.
-	x.prepaid = x.prepaid || dog.barked()
+	if dog.barked() {
+		// The watchdog has paid for what it broke off.
+		x.prepaid = true
+	}
 	return ended, failure, err
 }
 
+// move breaks off a stream that has used much of its time, if another endpoint has room
+// and is much faster: a long answer from a slow engine would not be whole in time.
+func (x *exchange) move(want *acaciaschedule.Request, dog *watchdog, cancel context.CancelCauseFunc) {
+	g := x.gateway
+	g.loop.Post(func() {
+		if dog.ctx.Err() != nil || !dog.movable || x.route.Kind != acaciasite.KindStream {
+			return
+		}
+		now := g.loop.Now()
+		if !g.scheduler.Faster(want, now) || !g.repeats.Repeat(x.service, g.members.Count(), now) {
+			dog.slow.Reset(moveAgain)
+			return
+		}
+		cancel(errSlow)
+	})
+}
+
 // movable tells whether the request may go to another endpoint than the one that gets it
 // now.
 func (x *exchange) movable(want *acaciaschedule.Request) bool {
@@ -91,7 +121,23 @@
 	d.timer.Reset(limit)
 }
 
-// barked tells whether the call was broken off because its endpoint was silent.
+// barked tells whether the watchdog has broken the call off.
 func (d *watchdog) barked() bool {
-	return errors.Is(context.Cause(d.ctx), errSilent)
+	return d.reason() != nil
+}
+
+// reason is why the watchdog has broken the call off, nil if it has not.
+func (d *watchdog) reason() error {
+	if cause := context.Cause(d.ctx); errors.Is(cause, errSilent) || errors.Is(cause, errSlow) {
+		return cause
+	}
+	return nil
+}
+
+// failure is what the endpoint is told to have done.
+func (d *watchdog) failure() acaciaschedule.Failure {
+	if errors.Is(context.Cause(d.ctx), errSlow) {
+		return 0
+	}
+	return acaciaschedule.FailedSilent
 }
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -21,6 +21,9 @@
 		// oldest first.
 		unanswered []*Request
 
+		// pace is the time between two events of a stream; zero if it is not known.
+		pace time.Duration
+
 		slowness float64
 		observed int
 		failing  float64
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -113,8 +113,12 @@
 	}
 )
 
-// maxRank bounds the ranks that are told to other processes.
-const maxRank = 7
+const (
+	// maxRank bounds the ranks that are told to other processes.
+	maxRank = 7
+	// muchFaster is how many times faster an endpoint must be for a stream to move.
+	muchFaster = 1.8
+)
 
 // New returns a scheduler without endpoints.
 func New(settings Settings) *Scheduler {
@@ -178,6 +182,35 @@
 	e.succeed()
 }
 
+// Paced notes the mean time between the events of a stream.
+func (s *Scheduler) Paced(request *Request, pace time.Duration) {
+	e := request.at
+	if e.pace == 0 {
+		e.pace = pace
+		return
+	}
+	e.pace += time.Duration(slownessFade * float64(pace-e.pace))
+}
+
+// Faster reports whether another endpoint has room for a stream now and gives its events
+// much faster than the one that has it.
+func (s *Scheduler) Faster(request *Request, now time.Time) bool {
+	at := request.at
+	if at == nil || at.pace == 0 {
+		return false
+	}
+	for _, id := range request.service.order {
+		e := request.service.endpoints[id]
+		if e == at || request.tried(id) || e.free(now) == 0 || e.pace == 0 {
+			continue
+		}
+		if float64(e.pace)*muchFaster < float64(at.pace) {
+			return true
+		}
+	}
+	return false
+}
+
 // Spare reports whether a service has free places and nothing waits for them.
 func (s *Scheduler) Spare(name string, now time.Time) bool {
 	v := s.service(name)
--- a/acaciaupstream/pool.go
+++ b/acaciaupstream/pool.go
@@ -15,7 +15,7 @@
 type (
 	// Pool keeps connections to endpoints.
 	Pool struct {
-		dialer net.Dialer
+		dialer *net.Dialer
 
 		mu     sync.Mutex
 		idle   map[string][]*connection
@@ -55,19 +55,21 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{
-		idle: map[string][]*connection{},
-		dialer: net.Dialer{
-			Timeout: dialTime,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: probeTime, Interval: probeTime, Count: probeCount,
-			},
-			Control: func(_, _ string, raw syscall.RawConn) error {
-				return raw.Control(func(fd uintptr) {
-					// Without the option a dead peer is only found later.
-					_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds()))
-				})
-			},
+	return &Pool{idle: map[string][]*connection{}, dialer: NewDialer()}
+}
+
+// NewDialer returns a dialer whose connections end soon after their peer has gone silent.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTime,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeTime, Interval: probeTime, Count: probeCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				// Without the option a dead peer is only found later.
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds()))
+			})
 		},
 	}
 }
--- a/cmd/acaciaroute/gateway.go
+++ b/cmd/acaciaroute/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -14,6 +15,7 @@
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciagateway"
 	"github.com/acaciaroute/acaciaroute/acacialog"
+	"github.com/acaciaroute/acaciaroute/acaciaupstream"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 )
 
@@ -51,7 +53,8 @@
 	defer flush(lines)
 	log := logr.FromSlogHandler(acacialog.NewHandler(lines, acacialog.Settings{}))
 	recorder := acaciaevent.NewRecorder(settings.Name, acaciaevent.NewClock(time.Now), log, gatewayEvents)
-	client := newPlatform(acaciaplatform.Settings{Store: settings.StoreURL})
+	transport := &http.Transport{DialContext: acaciaupstream.NewDialer().DialContext}
+	client := acaciaplatform.New(acaciaplatform.Settings{Store: settings.StoreURL}, transport)
 	metrics := acaciagateway.NewMetrics(client)
 	gateway := acaciagateway.New(context.Background(), settings, client.Store(), recorder, metrics)
 	if err := gateway.Start(context.Background()); err != nil {
