Take an endpoint that left during a cut of one gateway for gone

Cause: front-ost-wien-1 was cut off from 17.5 to 25.5 s. After its cut it took the endpoint's missing entry for one that had lapsed in an outage of the store and kept it for 2.5 s. The store had never been away.

Ruled out: a late read (the list was read 1.6 s after the cut).

Change: processes tell for how long they have been able to read the store; an outage all through which another one could read it lapses no entry.

--- a/acaciagateway/gateway_test.go
+++ b/acaciagateway/gateway_test.go
@@ -463,6 +463,69 @@
 	waitFor(t, func() bool { return second.configuration.Load().Version == 7 })
 }
 
+// A stop in the middle of a request: readiness goes first, the request ends whole.
+func TestStoppingGatewayFinishesWhatItHas(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	b := newBed(t, func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-release
+		answer(w, r, "done")
+	})
+	answered := make(chan reply)
+	go func() { answered <- b.send(http.MethodPost, "/unsafe/", "r-1", "x") }()
+	<-began
+	closed := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		closed <- b.gateway.Close(ctx)
+	}()
+	waitFor(t, func() bool {
+		request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+b.gateway.settings.ReadyAddress+"/acaciaroute/ready", nil)
+		assert.NilError(t, err)
+		return do(request).status == http.StatusServiceUnavailable
+	})
+	close(release)
+	r := <-answered
+	assert.Equal(t, r.body, "done")
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.NilError(t, <-closed)
+}
+
+// Each endpoint that runs the content dies; its caller sends it again and again.
+func TestContentThatKillsEndpointsIsRefused(t *testing.T) {
+	var deaths atomic.Int64
+	var servers [4]*httptest.Server
+	handlers := make([]http.HandlerFunc, len(servers))
+	for i := range servers {
+		handlers[i] = func(http.ResponseWriter, *http.Request) {
+			deaths.Add(1)
+			_ = servers[i].Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	b := newBed(t)
+	for i, handler := range handlers {
+		servers[i] = httptest.NewServer(handler)
+		t.Cleanup(servers[i].Close)
+		register(t, b.store, fmt.Sprintf("i-%d", i), servers[i].Listener.Addr().String(), "ready")
+	}
+	waitFor(t, func() bool {
+		b.send(http.MethodPost, "/unsafe/", "r", "poison")
+		return deaths.Load() > maxDeaths
+	})
+	waitFor(t, func() bool {
+		banned := false
+		content := contentHash(http.MethodPost, "/unsafe/", "club", []byte("poison"))
+		b.gateway.loop.Do(func() { banned = b.gateway.suspects.banned(content) })
+		return banned
+	})
+	r := b.send(http.MethodPost, "/unsafe/", "r-last", "poison")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Check(t, strings.Contains(r.body, "poison_content"), r.body)
+	assert.Equal(t, deaths.Load(), int64(maxDeaths+1))
+}
+
 func TestHistoryThatTheStoreForgetsIsReadAnew(t *testing.T) {
 	b := newBed(t, func(w http.ResponseWriter, r *http.Request) { answer(w, r, "") })
 	b.store.SetDown(true)
--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -59,6 +59,7 @@
 		Running:  report.Running,
 		Waiting:  report.Waiting,
 		Used:     g.quota.Used(),
+		StoreMS:  g.endpoints.readable(g.loop.Now()).Milliseconds(),
 		Crashes:  g.suspects.own,
 		Leaving:  leaving,
 	}
@@ -146,6 +147,9 @@
 	g.scheduler.Hear(message.Process, message.Report(), now)
 	g.quota.Hear(message.Process, message.Used, now)
 	g.suspects.hear(message.Process, message.Crashes)
+	if g.endpoints.hear(time.Duration(message.StoreMS)*time.Millisecond, now) {
+		g.giveUpMissing()
+	}
 	current := g.configuration.Load()
 	if current == nil || current.Version < message.Version {
 		g.fetch(from)
--- a/acaciagateway/list.go
+++ b/acaciagateway/list.go
@@ -18,6 +18,11 @@
 		down    bool
 		downAt  time.Time
 		upAt    time.Time
+		// since is when the store could be read first without a break.
+		since time.Time
+		// covered is the beginning of an outage all through which another process could
+		// read the store.
+		covered time.Time
 	}
 )
 
@@ -29,7 +34,7 @@
 )
 
 func newEndpointList() *endpointList {
-	return &endpointList{listed: map[string]bool{}, missing: map[string]time.Time{}}
+	return &endpointList{listed: map[string]bool{}, missing: map[string]time.Time{}, down: true}
 }
 
 // store notes whether the store can be read.
@@ -42,19 +47,43 @@
 		l.downAt = now
 		return
 	}
-	if now.Sub(l.downAt) > shortOutage {
+	l.since = now
+	if !l.downAt.IsZero() && now.Sub(l.downAt) > shortOutage {
 		l.upAt = now
 	}
 }
 
 // grace returns until when an endpoint that is missing now is kept; zero if it is gone.
 func (l *endpointList) grace(now time.Time) time.Time {
-	if l.upAt.IsZero() || now.Sub(l.upAt) > returnTime {
+	if l.upAt.IsZero() || now.Sub(l.upAt) > returnTime || l.othersRead() {
 		return time.Time{}
 	}
 	return l.upAt.Add(returnTime)
 }
 
+// othersRead tells whether another process could read the store all through the outage:
+// then the store was not away, and no entry has lapsed for that.
+func (l *endpointList) othersRead() bool {
+	return !l.downAt.IsZero() && l.covered.Equal(l.downAt)
+}
+
+// hear takes for how long another process has been able to read the store; it reports
+// whether missing endpoints are gone by that.
+func (l *endpointList) hear(readable time.Duration, now time.Time) bool {
+	if !l.down && now.Add(-readable).Before(l.downAt) {
+		l.covered = l.downAt
+	}
+	return len(l.missing) > 0 && l.othersRead()
+}
+
+// readable is for how long the store could be read without a break.
+func (l *endpointList) readable(now time.Time) time.Duration {
+	if l.down {
+		return 0
+	}
+	return now.Sub(l.since)
+}
+
 // replaceEndpoints takes the whole list; it runs on the loop.
 func (g *Gateway) replaceEndpoints(changes []acaciaplatform.Change) {
 	present := map[string]bool{}
@@ -100,6 +129,14 @@
 	g.step()
 }
 
+// giveUpMissing drops all endpoints that were kept; it runs on the loop.
+func (g *Gateway) giveUpMissing() {
+	for id := range g.endpoints.missing {
+		g.giveUp(id)
+	}
+	g.step()
+}
+
 // giveUp drops an endpoint that has not come back.
 func (g *Gateway) giveUp(id string) {
 	if _, missing := g.endpoints.missing[id]; !missing {
--- a/acaciagateway/watch.go
+++ b/acaciagateway/watch.go
@@ -59,8 +59,8 @@
 	}
 	f.note(nil)
 	f.whole(changes)
+	sleep(ctx, f.pause)
 	for ctx.Err() == nil {
-		sleep(ctx, f.pause)
 		changes, after, err := f.gateway.store.Changes(ctx, f.topic, next, f.wait)
 		var coded *acaciaroute.Error
 		if errors.As(err, &coded) && coded.Code == acaciaroute.CodeLogTrimmed {
@@ -73,6 +73,7 @@
 		}
 		next = after
 		f.changes(changes)
+		sleep(ctx, f.pause)
 	}
 	return nil
 }
--- a/acaciapeer/message.go
+++ b/acaciapeer/message.go
@@ -22,6 +22,9 @@
 		Waiting map[string][]int `json:"waiting,omitempty"`
 		// Used is what organisations have used through the process since its start.
 		Used map[string]float64 `json:"used,omitempty"`
+		// StoreMS is for how many milliseconds the process has been able to read the store
+		// without a break.
+		StoreMS int64 `json:"store_ms,omitempty"`
 		// Crashes counts, by the hash of a request's content, the endpoints that died
 		// while they ran it.
 		Crashes map[uint64]int `json:"crashes,omitempty"`
