Give a free place to the first request over all gateways

Seen: up to five times as many requests at the engines as they have places, the first event after 0.5 s where 0.1 was expected, 549 of 6,375 sends rejected, 808 of 2,750 plans late.

Cause: each gateway saw a place get free at the same time, and each sent a request to it. Ranks above 7 were told as 7, so that queues of unlike classes were counted as one.

Change: gateways tell the orders of their first eight waiting requests (rank, can it meet its objective, time left); a request is placed only if fewer requests go before it, here and elsewhere, than places are free. Messages are spaced by the number of gateways.

The test plays 22 schedulers before one endpoint of four places; without the rule it sees 22 requests there. It also found that orders must be compared as of the time when they were told.

--- a/acaciagateway/gateway_test.go
+++ b/acaciagateway/gateway_test.go
@@ -374,7 +374,7 @@
 	<-ended
 	waitFor(t, func() bool {
 		free := false
-		b.gateway.loop.Do(func() { free = len(b.gateway.scheduler.Tell().Running) == 0 })
+		b.gateway.loop.Do(func() { free = len(b.gateway.scheduler.Tell(time.Now()).Running) == 0 })
 		return free
 	})
 }
--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -16,6 +16,9 @@
 const (
 	// tellTime is the least time between two messages to the other processes.
 	tellTime = 20 * time.Millisecond
+	// tellTimeOfOne is what each other process adds to it, so that the cost of messages
+	// does not grow with the square of the processes.
+	tellTimeOfOne = 2 * time.Millisecond
 	// beatTime is the longest.
 	beatTime = 400 * time.Millisecond
 	// maxMessageBytes bounds a message.
@@ -41,7 +44,7 @@
 		return
 	}
 	g.telling = true
-	g.loop.After(tellTime, func() {
+	g.loop.After(max(tellTime, time.Duration(g.members.Count())*tellTimeOfOne), func() {
 		g.telling = false
 		g.tellNow(false)
 	})
@@ -50,16 +53,15 @@
 // tellNow sends a message to the others; it runs on the loop.
 func (g *Gateway) tellNow(leaving bool) {
 	g.sequence++
-	report := g.scheduler.Tell()
+	now := g.loop.Now()
 	message := acaciapeer.Message{
 		Process:  g.settings.Name,
 		Started:  g.started,
 		Sequence: g.sequence,
 		Region:   g.settings.Region,
-		Running:  report.Running,
-		Waiting:  report.Waiting,
+		Report:   g.scheduler.Tell(now),
 		Used:     g.quota.Used(),
-		StoreMS:  g.endpoints.readable(g.loop.Now()).Milliseconds(),
+		StoreMS:  g.endpoints.readable(now).Milliseconds(),
 		Crashes:  g.suspects.own,
 		Leaving:  leaving,
 	}
@@ -71,7 +73,7 @@
 		g.recorder.Failed("encode a message to peers", acaciaevent.Event{}, err)
 		return
 	}
-	for _, address := range g.members.Targets(g.loop.Now()) {
+	for _, address := range g.members.Targets(now) {
 		to, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
 			continue
@@ -144,7 +146,7 @@
 		g.tell()
 	case acaciapeer.NewsUpdate:
 	}
-	g.scheduler.Hear(message.Process, message.Report(), now)
+	g.scheduler.Hear(message.Process, &message.Report, now)
 	g.quota.Hear(message.Process, message.Used, now)
 	g.suspects.hear(message.Process, message.Crashes)
 	if g.endpoints.hear(time.Duration(message.StoreMS)*time.Millisecond, now) {
--- a/acaciapeer/members_test.go
+++ b/acaciapeer/members_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/acaciaroute/acaciaroute/acaciaschedule"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -71,8 +73,13 @@
 
 func TestMessageSurvivesItsEncoding(t *testing.T) {
 	message := Message{
-		Process: "p", Started: 1, Sequence: 2, Region: "r", Version: 3, Running: map[string]int{"i": 1},
-		Waiting: map[string][]int{"m": {0, 2}}, Used: map[string]float64{"club": 1.5}, Crashes: map[uint64]int{1 << 63: 1},
+		Process: "p", Started: 1, Sequence: 2, Region: "r", Version: 3,
+		Report: acaciaschedule.Report{
+			Running: map[string]int{"i": 1},
+			Waiting: map[string]map[int]int{"m": {0: 2}},
+			Heads:   map[string][]acaciaschedule.Order{"m": {5, 7}},
+		},
+		Used: map[string]float64{"club": 1.5}, Crashes: map[uint64]int{1 << 63: 1},
 	}
 	data, err := message.Encode()
 	assert.NilError(t, err)
--- a/acaciapeer/message.go
+++ b/acaciapeer/message.go
@@ -17,9 +17,8 @@
 		Region   string `json:"region"`
 		// Version is the newest configuration that the process has.
 		Version int64 `json:"version"`
-		// Running and Waiting are the process's requests; see acaciaschedule.Report.
-		Running map[string]int   `json:"running,omitempty"`
-		Waiting map[string][]int `json:"waiting,omitempty"`
+		// Report tells the process's requests.
+		acaciaschedule.Report
 		// Used is what organisations have used through the process since its start.
 		Used map[string]float64 `json:"used,omitempty"`
 		// StoreMS is for how many milliseconds the process has been able to read the store
@@ -44,8 +43,3 @@
 	err := json.Unmarshal(data, &m)
 	return m, err
 }
-
-// Report returns the part that the scheduler needs.
-func (m Message) Report() *acaciaschedule.Report {
-	return &acaciaschedule.Report{Running: m.Running, Waiting: m.Waiting}
-}
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -14,8 +14,9 @@
 		gone bool
 		// own is how many requests of this process it runs.
 		own int
-		// peers is how many requests of each other process it runs.
-		peers map[string]report
+		// peers is how many requests of each other process it runs, others their sum.
+		peers  map[string]int
+		others int
 
 		// unanswered are requests of this process without a first part of the answer, the
 		// oldest first.
@@ -30,31 +31,26 @@
 		inRow    int
 		spared   time.Time
 	}
-
-	// report is a number that another process has told, and when.
-	report struct {
-		count int
-		at    time.Time
-	}
 )
 
 const (
-	// reportTime is how long the word of a silent process counts.
-	reportTime = 3 * time.Second
 	// otherDataCentre and otherRegion stand for the price of the bytes that cross.
 	otherDataCentre = 8 * time.Millisecond
 	otherRegion     = 150 * time.Millisecond
 )
 
 // occupied is how many requests run at the endpoint, as far as the process knows.
-func (e *endpoint) occupied(now time.Time) int {
-	n := e.own
-	for _, told := range e.peers {
-		if now.Sub(told.at) < reportTime {
-			n += told.count
-		}
+func (e *endpoint) occupied() int {
+	return e.own + e.others
+}
+
+// tell takes how many requests of another process the endpoint runs.
+func (e *endpoint) tell(process string, count int) {
+	e.others += count - e.peers[process]
+	e.peers[process] = count
+	if count == 0 {
+		delete(e.peers, process)
 	}
-	return n
 }
 
 // free is how many more requests the endpoint can take.
@@ -62,7 +58,7 @@
 	if !e.usable() || now.Before(e.spared) {
 		return 0
 	}
-	return max(0, e.info.Places+s.settings.Prefetch-e.occupied(now))
+	return max(0, e.info.Places+s.settings.Prefetch-e.occupied())
 }
 
 func (e *endpoint) usable() bool {
@@ -90,7 +86,7 @@
 		if s.free(e, now) == 0 || request.tried(id) {
 			continue
 		}
-		expected := time.Duration(float64(v.expect(e, request, now))*e.reliability()*v.silence(e, now)) + s.distance(e)
+		expected := time.Duration(float64(v.expect(e, request))*e.reliability()*v.silence(e, now)) + s.distance(e)
 		expected += time.Duration(s.settings.Draw() * float64(expected) * spread)
 		if best == nil || expected < bestTime {
 			best, bestTime = e, expected
--- a/acaciaschedule/queue.go
+++ b/acaciaschedule/queue.go
@@ -73,7 +73,7 @@
 	if places == 0 {
 		return priorHold
 	}
-	ahead := v.peersWaiting(now, func(rank int) bool { return rank <= request.Rank })
+	ahead := v.peersWaiting(func(rank int) bool { return rank <= request.Rank })
 	for _, other := range v.waiting {
 		if other != request && other.Rank <= request.Rank {
 			ahead++
@@ -82,19 +82,6 @@
 	return time.Duration(float64(v.hold) * float64(ahead+1) / float64(places))
 }
 
-// peersWaiting counts the waiting requests of other processes whose rank is wanted.
-func (v *service) peersWaiting(now time.Time, wanted func(rank int) bool) int {
-	n := 0
-	for _, ranks := range v.peers {
-		for rank, told := range ranks {
-			if wanted(rank) && now.Sub(told.at) < reportTime {
-				n += told.count
-			}
-		}
-	}
-	return n
-}
-
 // hopeless tells whether a request would wait so long that it had better come back.
 func (v *service) hopeless(request *Request, now time.Time) bool {
 	whole := request.Deadline.Sub(request.Arrived)
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -81,14 +81,6 @@
 		OldestReport time.Duration
 	}
 
-	// Report is what one process tells the others of its requests.
-	Report struct {
-		// Running counts its requests at each endpoint, by the endpoint's ID.
-		Running map[string]int
-		// Waiting counts its waiting requests of each service by rank.
-		Waiting map[string][]int
-	}
-
 	// Scheduler decides for one process; it is used by one goroutine.
 	Scheduler struct {
 		settings Settings
@@ -96,6 +88,8 @@
 		byID     map[string]*endpoint
 		// ownerOf maps an endpoint's ID to its service.
 		ownerOf map[string]*service
+		// heard is when each other process has told something last.
+		heard map[string]time.Time
 	}
 
 	// service is a group of endpoints and the requests that wait for them.
@@ -105,8 +99,8 @@
 		// order holds the IDs of endpoints, so that runs repeat.
 		order   []string
 		waiting []*Request
-		// peers holds, for each process, its waiting requests by rank.
-		peers map[string][]report
+		// peers holds what each other process has told of its waiting requests.
+		peers map[string]peer
 		speed speed
 		// hold is how long a request takes a place.
 		hold time.Duration
@@ -117,8 +111,6 @@
 )
 
 const (
-	// maxRank bounds the ranks that are told to other processes.
-	maxRank = 7
 	// muchFaster is how many times faster an endpoint must be for a stream to move.
 	muchFaster = 1.8
 )
@@ -130,6 +122,7 @@
 		services: map[string]*service{},
 		byID:     map[string]*endpoint{},
 		ownerOf:  map[string]*service{},
+		heard:    map[string]time.Time{},
 	}
 }
 
@@ -151,7 +144,7 @@
 	}
 	s.forget(change.ID)
 	v := s.service(info.Service)
-	e := &endpoint{info: info, peers: map[string]report{}}
+	e := &endpoint{info: info, peers: map[string]int{}}
 	s.byID[info.ID], s.ownerOf[info.ID] = e, v
 	v.endpoints[info.ID] = e
 	v.order = append(v.order, info.ID)
@@ -217,7 +210,7 @@
 // Spare reports whether a service has free places and nothing waits for them.
 func (s *Scheduler) Spare(name string, now time.Time) bool {
 	v := s.service(name)
-	return len(v.waiting) == 0 && v.peersWaiting(now, func(int) bool { return true }) == 0 && s.freePlaces(v, now) > 0
+	return len(v.waiting) == 0 && v.peersWaiting(func(int) bool { return true }) == 0 && s.freePlaces(v, now) > 0
 }
 
 // Elsewhere reports whether another endpoint than the one that has a request has room for
@@ -249,57 +242,9 @@
 	request.at = nil
 }
 
-// Hear takes the report of another process; a nil report forgets it.
-func (s *Scheduler) Hear(process string, told *Report, now time.Time) {
-	for _, e := range s.byID {
-		delete(e.peers, process)
-	}
-	for _, v := range s.services {
-		delete(v.peers, process)
-	}
-	if told == nil {
-		return
-	}
-	for id, count := range told.Running {
-		if e := s.byID[id]; e != nil {
-			e.peers[process] = report{count: count, at: now}
-		}
-	}
-	for name, ranks := range told.Waiting {
-		v := s.service(name)
-		for _, count := range ranks {
-			v.peers[process] = append(v.peers[process], report{count: count, at: now})
-		}
-	}
-}
-
-// Tell returns the report for the other processes.
-func (s *Scheduler) Tell() Report {
-	told := Report{Running: map[string]int{}, Waiting: map[string][]int{}}
-	for id, e := range s.byID {
-		if e.own > 0 {
-			told.Running[id] = e.own
-		}
-	}
-	for name, v := range s.services {
-		if len(v.waiting) == 0 {
-			continue
-		}
-		ranks := []int{}
-		for _, request := range v.waiting {
-			rank := min(max(request.Rank, 0), maxRank)
-			for len(ranks) <= rank {
-				ranks = append(ranks, 0)
-			}
-			ranks[rank]++
-		}
-		told.Waiting[name] = ranks
-	}
-	return told
-}
-
 // Step decides on the waiting requests; those that it returns wait no more.
 func (s *Scheduler) Step(now time.Time) []Decision {
+	s.expire(now)
 	var decisions []Decision
 	for _, v := range s.services {
 		if len(v.waiting) > 0 {
@@ -314,17 +259,23 @@
 	v.sort(now)
 	var decisions []Decision
 	kept := v.waiting[:0:0]
+	free := s.freePlaces(v, now)
 	queue := v.waiting
 	for i, request := range queue {
-		e := s.place(v, request, now)
+		var e *endpoint
+		// A place that others see free, too, goes to whoever is first over all processes.
+		if ahead := len(kept) + v.peersAhead(request, now); ahead < free {
+			e = s.place(v, request, now)
+		}
 		v.waiting = append(slices.Clone(kept), queue[i:]...)
 		switch {
 		case e != nil:
 			inputs := s.inputs(v, request, now)
-			inputs.ExpectedHere = v.expect(e, request, now)
+			inputs.ExpectedHere = v.expect(e, request)
 			info := e.info
 			decisions = append(decisions, Decision{Request: request, Inputs: inputs, Endpoint: &info})
 			s.take(v, e, request, now)
+			free--
 		case !now.Before(request.Deadline) || v.hopeless(request, now):
 			decisions = append(decisions, Decision{Request: request, RetryAfter: s.retryAfter(v, request, now), Inputs: s.inputs(v, request, now)})
 		default:
@@ -337,7 +288,7 @@
 
 func (s *Scheduler) take(v *service, e *endpoint, request *Request, now time.Time) {
 	request.at, request.placed = e, now
-	request.busy = float64(e.occupied(now)) / float64(e.info.Places)
+	request.busy = float64(e.occupied()) / float64(e.info.Places)
 	e.own++
 	e.unanswered = append(e.unanswered, request)
 	if request.Share > 0 {
@@ -366,7 +317,7 @@
 	in := Inputs{
 		Free:          s.freePlaces(v, now),
 		Waiting:       len(v.waiting),
-		PeersWaiting:  v.peersWaiting(now, func(int) bool { return true }),
+		PeersWaiting:  v.peersWaiting(func(int) bool { return true }),
 		ExpectedWait:  v.wait(request, now),
 		ExpectedFirst: v.firstTime(request),
 	}
@@ -374,9 +325,9 @@
 		if e.usable() {
 			in.Endpoints++
 		}
-		for _, told := range e.peers {
-			in.OldestReport = max(in.OldestReport, now.Sub(told.at))
-		}
+	}
+	for _, at := range s.heard {
+		in.OldestReport = max(in.OldestReport, now.Sub(at))
 	}
 	return in
 }
@@ -387,7 +338,7 @@
 		v = &service{
 			name:      name,
 			endpoints: map[string]*endpoint{},
-			peers:     map[string][]report{},
+			peers:     map[string]peer{},
 			had:       map[string]float64{},
 			hold:      priorHold,
 		}
--- a/acaciaschedule/scheduler_test.go
+++ b/acaciaschedule/scheduler_test.go
@@ -71,6 +71,58 @@
 	assert.DeepEqual(t, placed(s, at(0).Add(reportTime)), map[string]string{"r": "e"})
 }
 
+// Many processes see one place get free at the same time, each with a request that waits
+// for it (hoehlenplan-route-grown scale-1: up to five times as many requests at the engines
+// as they have places).
+func TestFreePlaceGoesToTheFirstOverAllProcesses(t *testing.T) {
+	const processes, rounds = 22, 40
+	schedulers := make([]*Scheduler, processes)
+	for i := range schedulers {
+		schedulers[i] = newScheduler()
+		list(schedulers[i], "e", "a", 4)
+	}
+	tell := func(now time.Time) {
+		for i, from := range schedulers {
+			told := from.Tell(now)
+			for j, to := range schedulers {
+				if i != j {
+					to.Hear(fmt.Sprint(i), &told, now)
+				}
+			}
+		}
+	}
+	running := map[*Request]*Scheduler{}
+	most, total := 0, 0
+	for round := range rounds {
+		now := at(round * 50)
+		for i, s := range schedulers {
+			s.Add(request(fmt.Sprint(round, "-", i), i%3, now))
+		}
+		tell(now)
+		for i, s := range schedulers {
+			for _, decision := range s.Step(now.Add(time.Millisecond)) {
+				if decision.Endpoint == nil {
+					continue
+				}
+				running[decision.Request] = s
+				total++
+				assert.Check(t, round == 0 || decision.Request.Rank == 0, "rank %d at process %d", decision.Request.Rank, i)
+			}
+		}
+		most = max(most, len(running))
+		tell(now.Add(20 * time.Millisecond))
+		if round%2 == 0 {
+			continue
+		}
+		for r, s := range running {
+			s.Release(r, now.Add(30*time.Millisecond))
+			delete(running, r)
+		}
+	}
+	assert.Check(t, most <= 4, "%d requests for 4 places", most)
+	assert.Check(t, total >= rounds*3/2, "%d", total)
+}
+
 // A crest of several times the capacity: what would wait too long is told to come back,
 // the least urgent first, and the most urgent is not turned away before it.
 func TestCrestTurnsTheLeastUrgentAway(t *testing.T) {
@@ -182,7 +234,7 @@
 	assert.Check(t, decisions[0].Endpoint == nil)
 	assert.Check(t, !s.Remove(r))
 	s.Release(r, at(3))
-	assert.Equal(t, len(s.Tell().Running), 0)
+	assert.Equal(t, len(s.Tell(at(0)).Running), 0)
 }
 
 func TestRestartUnderTheSameIDForgetsWhatWasLearned(t *testing.T) {
@@ -237,7 +289,10 @@
 					break
 				}
 			case 4:
-				s.Hear("peer", &Report{Waiting: map[string][]int{"m": {rapid.IntRange(0, 2).Draw(t, "waiting")}}}, now)
+				s.Hear("peer", &Report{
+					Waiting: map[string]map[int]int{"m": {0: 1}},
+					Heads:   map[string][]Order{"m": {Order(rapid.Int64Range(0, 3).Draw(t, "head")) << orderBits}},
+				}, now)
 			}
 			lowest := -1
 			for _, decision := range s.Step(now) {
--- a/acaciaschedule/speed.go
+++ b/acaciaschedule/speed.go
@@ -55,8 +55,8 @@
 }
 
 // expect predicts the time to the first part of an answer at an endpoint.
-func (s *service) expect(e *endpoint, request *Request, now time.Time) time.Duration {
-	busy := float64(e.occupied(now)) / float64(e.info.Places)
+func (s *service) expect(e *endpoint, request *Request) time.Duration {
+	busy := float64(e.occupied()) / float64(e.info.Places)
 	predicted := s.speed.first(float64(request.PromptTokens)) * s.slowness(e) * (1 + crowding*busy)
 	return time.Duration(predicted * float64(time.Second))
 }
