--- a/acaciaschedule/failure.go
+++ b/acaciaschedule/failure.go
@@ -43,6 +43,7 @@
 func (e *endpoint) succeed() {
 	e.failing -= failureFade * e.failing
 	e.inRow = 0
+	e.downUntil = time.Time{}
 }
 
 // fail notes a failure and spares the endpoint for a while.
@@ -60,7 +61,15 @@
 		pause = min(firstPause<<min(e.inRow, maxDoublings), maxPause)
 		e.inRow++
 	}
-	if until := now.Add(pause); until.After(e.spared) {
+	if failure == FailedUnreached {
+		e.downUntil = now.Add(pause)
+	}
+	e.spare(now.Add(pause))
+}
+
+// spare keeps new requests from the endpoint until a moment.
+func (e *endpoint) spare(until time.Time) {
+	if until.After(e.spared) {
 		e.spared = until
 	}
 }
--- a/acaciaschedule/peer.go
+++ b/acaciaschedule/peer.go
@@ -14,6 +14,8 @@
 		Running map[string]int `json:"running,omitempty"`
 		// Waiting counts its waiting requests of each service by rank.
 		Waiting map[string]map[int]int `json:"waiting,omitempty"`
+		// Down are the endpoints to which the process could not connect of late.
+		Down []string `json:"down,omitempty"`
 		// Heads are the orders of the first waiting requests of each service.
 		Heads map[string][]Order `json:"heads,omitempty"`
 	}
@@ -36,6 +38,9 @@
 	// headTime is how long a process's first requests count as waiting after its word: one
 	// that has gone silent must not keep the others from free places.
 	headTime = 300 * time.Millisecond
+	// heardPause is how long an endpoint is spared to which another process could not
+	// connect.
+	heardPause = 300 * time.Millisecond
 	// maxHeads is how many of its first requests of a service a process tells.
 	maxHeads = 8
 	// orderBits is the width of an order without the rank: lateBit marks those that cannot
@@ -71,6 +76,11 @@
 			e.tell(process, count)
 		}
 	}
+	for _, id := range told.Down {
+		if e := s.byID[id]; e != nil && e.downUntil.IsZero() {
+			e.spare(now.Add(heardPause))
+		}
+	}
 	for name, v := range s.services {
 		delete(v.peers, process)
 		if len(told.Waiting[name]) > 0 {
@@ -100,6 +110,9 @@
 		if e.own > 0 {
 			told.Running[id] = e.own
 		}
+		if now.Before(e.downUntil) {
+			told.Down = append(told.Down, id)
+		}
 	}
 	for name, v := range s.services {
 		if len(v.waiting) == 0 {
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -238,7 +238,12 @@
 	}
 	e.own--
 	e.unanswered = slices.DeleteFunc(e.unanswered, func(other *Request) bool { return other == request })
-	v.hold += time.Duration(holdFade * float64(now.Sub(request.placed)-v.hold))
+	held := now.Sub(request.placed)
+	v.hold += time.Duration(holdFade * float64(held-v.hold))
+	if e.hold == 0 {
+		e.hold = held
+	}
+	e.hold += time.Duration(slownessFade * float64(held-e.hold))
 	request.at = nil
 }
 
