Keep quotas over restarts: a bucket and a reserve in place of a window

Cause: a window lets an organisation use 8 s of its quota in 2 s; a herd of killed processes then forgets it, and a fresh window of 0.9 taken for used lets it have half of its quota again at once. No memory of ours outlives all processes.

Change: a token bucket of one burst, and a reserve, given out while places are free and nothing waits, into which half of the tolerance flows in a window. What both hold, the flow and what a fresh process begins with are together less than burst and tolerance.

A soak of the gateways as separate processes, with its own stand-ins: kills, stops, pauses, cuts and held links to store and endpoints, outages and lost history of the store, replaced endpoints, failures and lost answers.

--- a/acaciabudget/quota.go
+++ b/acaciabudget/quota.go
@@ -7,11 +7,14 @@
 )
 
 type (
-	// Quota bounds what each organisation uses in a window, over all processes: each
-	// tells the others what it has used. It is used by one goroutine.
+	// Quota holds a token bucket for each organisation, which the processes drain
+	// together: each tells the others what it has used. It is used by one goroutine.
 	//
-	// A window of the quota's length is what is promised to the organisation and to the
-	// others; a bucket of one burst would turn away a swing that the window allows.
+	// Beside it is a reserve, filled with a part of what all processes together may exceed
+	// the quota by in a window, and given out while there is room to spare. What both hold,
+	// what flows into the reserve in a window and what a freshly started process begins
+	// with is together less than the burst and the tolerance, so that the quota holds over
+	// any window in which all processes start anew and have forgotten what was used.
 	Quota struct {
 		settings QuotaSettings
 		accounts map[string]*account
@@ -32,29 +35,23 @@
 
 	account struct {
 		rate, burst float64
-		// slots hold what all processes have used, by part of the window.
-		slots [quotaSlots]used
+		// tolerance is by how much a window's use may exceed the quota.
+		tolerance float64
+		level     float64
+		reserve   float64
+		at        time.Time
 		// total is what this process has used since its start.
 		total float64
 	}
-
-	// used is what was used in one part of the window.
-	used struct {
-		slot int64
-		all  float64
-	}
 )
 
 const (
-	// quotaSlots is into how many parts a window is cut, and one more, so that a whole
-	// window is always covered.
-	quotaSlots = 33
-	// priorUse is the part of the window that counts as used by a process that has just
-	// started and knows nothing of the time before.
-	priorUse = 0.9
-	// tolerated is the part of the tolerance that is given out on purpose; the rest is
-	// for what processes have not yet heard of each other.
-	tolerated = 0.8
+	// reserveFlow is the part of the tolerance that flows into the reserve in a window,
+	// reserveSize the part that it holds, initial the part that the bucket holds at the
+	// start of a process. The rest is for what processes have not yet heard of each other.
+	reserveFlow = 0.5
+	reserveSize = 0.2
+	initial     = 0.15
 )
 
 // NewQuota returns quotas of no organisation.
@@ -67,13 +64,16 @@
 func (q *Quota) Configure(organisations []acaciasite.Organisation, now time.Time) {
 	for i := range organisations {
 		organisation := &organisations[i]
+		tolerance := q.settings.Overrun*(organisation.Rate*q.settings.Window.Seconds()+organisation.Burst) + q.settings.Slack
 		a := q.accounts[organisation.Name]
 		if a == nil {
-			a = &account{}
+			a = &account{level: min(initial*tolerance, organisation.Burst), at: now}
 			q.accounts[organisation.Name] = a
-			a.assume(organisation.Rate*q.slotTime().Seconds()*priorUse, q.slot(now))
 		}
-		a.rate, a.burst = organisation.Rate, organisation.Burst
+		q.refill(a, now)
+		a.rate, a.burst, a.tolerance = organisation.Rate, organisation.Burst, tolerance
+		a.level = min(a.level, a.burst*q.share)
+		a.reserve = min(a.reserve, a.tolerance*reserveSize*q.share)
 	}
 }
 
@@ -85,31 +85,30 @@
 
 // Take charges an organisation for a request. If it has used its quota up, Take returns
 // false and when there should be enough again. While there is room to spare, an
-// organisation may go above its quota within the tolerance.
+// organisation may use the reserve.
 func (q *Quota) Take(organisation string, cost float64, spare bool, now time.Time) (ok bool, wait time.Duration) {
 	a := q.accounts[organisation]
 	if a == nil || a.rate <= 0 {
 		return true, 0
 	}
-	limit := a.rate*q.settings.Window.Seconds() + a.burst
+	q.refill(a, now)
+	has := a.level
 	if spare {
-		limit += tolerated * (q.settings.Overrun*limit + q.settings.Slack)
+		has += max(a.reserve, 0)
 	}
-	all := a.sum(q.slot(now))
-	over := all + cost - limit*q.share
-	// A request that is larger than the whole limit passes when nothing else is used.
-	if over > 0 && all > 0 {
-		return false, q.wait(a, over, now)
+	// A request that is larger than the bucket passes when the bucket is full.
+	if need := min(cost, a.burst*q.share); has < need {
+		return false, time.Duration((need - has) / (a.rate * q.share) * float64(time.Second))
 	}
-	a.add(cost, q.slot(now))
+	a.use(cost)
 	a.total += cost
 	return true, 0
 }
 
 // Return gives back the charge of a request that did not run.
-func (q *Quota) Return(organisation string, cost float64, now time.Time) {
+func (q *Quota) Return(organisation string, cost float64) {
 	if a := q.accounts[organisation]; a != nil && a.rate > 0 {
-		a.add(-cost, q.slot(now))
+		a.level = min(a.level+cost, a.burst*q.share)
 		a.total -= cost
 	}
 }
@@ -135,7 +134,8 @@
 	}
 	for name, n := range total {
 		if a := q.accounts[name]; a != nil {
-			a.add(n-last[name], q.slot(now))
+			q.refill(a, now)
+			a.use(n - last[name])
 		}
 	}
 }
@@ -145,50 +145,24 @@
 	delete(q.heard, process)
 }
 
-func (q *Quota) slotTime() time.Duration {
-	return q.settings.Window / (quotaSlots - 1)
-}
-
-func (q *Quota) slot(now time.Time) int64 {
-	return now.UnixNano() / int64(q.slotTime())
-}
-
-// wait returns when so much will have left the window that a request fits.
-func (q *Quota) wait(a *account, over float64, now time.Time) time.Duration {
-	current := q.slot(now)
-	for slot := current - quotaSlots + 1; slot <= current; slot++ {
-		if u := a.slots[slot%quotaSlots]; u.slot == slot {
-			over -= u.all
-		}
-		if over <= 0 {
-			return time.Duration(slot+quotaSlots-current) * q.slotTime()
-		}
-	}
-	return q.settings.Window
-}
-
-// assume fills the whole window.
-func (a *account) assume(each float64, current int64) {
-	for slot := current - quotaSlots + 1; slot <= current; slot++ {
-		a.add(each, slot)
-	}
-}
-
-func (a *account) add(cost float64, slot int64) {
-	u := &a.slots[slot%quotaSlots]
-	if u.slot != slot {
-		*u = used{slot: slot}
+func (q *Quota) refill(a *account, now time.Time) {
+	passed := now.Sub(a.at).Seconds()
+	if passed <= 0 {
+		return
 	}
-	u.all += cost
+	a.at = now
+	flow := reserveFlow * a.tolerance / q.settings.Window.Seconds()
+	a.level = min(a.level+a.rate*q.share*passed, a.burst*q.share)
+	a.reserve = min(a.reserve+flow*q.share*passed, a.tolerance*reserveSize*q.share)
 }
 
-// sum returns what was used in the window.
-func (a *account) sum(current int64) float64 {
-	all := 0.0
-	for _, u := range a.slots {
-		if current-u.slot < quotaSlots {
-			all += u.all
-		}
+// use takes from the bucket and then from the reserve; what neither holds is owed by the
+// bucket.
+func (a *account) use(cost float64) {
+	a.level -= cost
+	if a.level < 0 && a.reserve > 0 {
+		moved := min(-a.level, a.reserve)
+		a.reserve -= moved
+		a.level += moved
 	}
-	return all
 }
--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -180,7 +180,7 @@
 		x.refuse(&acaciaroute.Error{Code: acaciaroute.CodeOutcomeUnknown, Detail: "an endpoint failed and no other had room", Err: err}, decision)
 	default:
 		if x.organisation != nil {
-			g.loop.Post(func() { g.quota.Return(x.organisation.Name, x.cost(), g.loop.Now()) })
+			g.loop.Post(func() { g.quota.Return(x.organisation.Name, x.cost()) })
 		}
 		x.refuse(err, decision)
 	}
--- /dev/null
+++ b/acaciasystem/gateway_cluster_test.go
@@ -0,0 +1,289 @@
+package acaciasystem
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/acaciaroute/acaciaroute/acaciastandin"
+	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
+)
+
+type (
+	// fleet is gateways as separate processes before a store and endpoints of the test.
+	fleet struct {
+		t         *testing.T
+		dir       string
+		store     *acaciastandin.Store
+		storeURL  string
+		gateways  []*gatewayNode
+		endpoints []*endpointNode
+		version   atomic.Int64
+	}
+
+	// gatewayNode is one gateway with a proxy before the store.
+	gatewayNode struct {
+		fleet   *fleet
+		name    string
+		ip      string
+		toStore *proxy
+
+		mu      sync.Mutex
+		process *exec.Cmd
+	}
+
+	// endpointNode is one endpoint behind a proxy.
+	endpointNode struct {
+		fleet *fleet
+		proxy *proxy
+
+		mu    sync.Mutex
+		id    string
+		birth int64
+		// runs counts the runs of each request.
+		runs map[string]int
+		// failing makes it answer 500, losing drop its answers.
+		failing bool
+		losing  bool
+	}
+)
+
+const (
+	gatewayPort   = 8221
+	readyPort     = 8224
+	fleetKey      = "fleet-key"
+	streamEvents  = 8
+	eventTime     = 5 * time.Millisecond
+	workTime      = 10 * time.Millisecond
+	fleetSettings = `nodeName = "%[1]s"
+ip = "%[2]s"
+zone = "a"
+region = "r"
+portRange = [7600,7615]
+seedNodes = ["%[3]s:8229"]
+[zones]
+a = "r"
+[bind]
+front = "%[2]s:8221"
+ready = "%[2]s:8224"
+[limits]
+memoryMb = 284
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retrySlack = 50
+quotaWindowS = 8
+quotaOverrun = 0.1
+quotaSlack = 100
+[platform]
+address = "%[4]s"
+`
+	fleetConfiguration = `{"version":%d,"routes":[
+ {"name":"safe","host":"h","pathPrefix":"/safe/","routeType":"idempotent","timeoutMs":%d,"targetLatencyMs":400,"maxAttempts":2,"service":"s"},
+ {"name":"unsafe","host":"h","pathPrefix":"/unsafe/","routeType":"non_idempotent","timeoutMs":3000,"targetLatencyMs":400,"maxAttempts":1,"service":"s"},
+ {"name":"stream","host":"h","pathPrefix":"/stream/","routeType":"streaming","timeoutMs":5000,"targetLatencyMs":400,"maxAttempts":2,"service":"s","streamResume":true}],
+ "services":[{"name":"s","maxConnections":100}],"limits":{"maxBodyBytes":100000},
+ "tenants":[{"name":"club","apiKeys":["` + fleetKey + `"]}]}`
+)
+
+var fleets atomic.Int64
+
+// newFleet starts gateways and endpoints and waits until all gateways are ready.
+func newFleet(t *testing.T, gateways, endpoints int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), store: acaciastandin.NewStore()}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.storeURL = server.Listener.Addr().String()
+	f.publish()
+	for range endpoints {
+		f.addEndpoint()
+	}
+	number, pid := fleets.Add(1), os.Getpid()
+	ip := func(index int) string {
+		return net.IPv4(127, byte(1+(int(number)*16+index)%100), byte(pid>>8), byte(pid)).String()
+	}
+	for i := range gateways {
+		g := &gatewayNode{fleet: f, name: fmt.Sprint("gateway-", i), ip: ip(i), toStore: newProxy(t, f.storeURL)}
+		text := fmt.Sprintf(fleetSettings, g.name, g.ip, ip(0), g.toStore.address)
+		assert.NilError(t, os.WriteFile(g.settings(), []byte(text), 0o600))
+		f.gateways = append(f.gateways, g)
+		g.start()
+	}
+	t.Cleanup(f.close)
+	for _, g := range f.gateways {
+		waitFor(t, g.ready)
+	}
+	return f
+}
+
+// publish writes the next version of the configuration; only a timeout changes.
+func (f *fleet) publish() {
+	version := f.version.Add(1)
+	f.store.Put("keyed.op", "config", fmt.Appendf(nil, fleetConfiguration, version*3, 2000+version))
+}
+
+func (f *fleet) close() {
+	for _, g := range f.gateways {
+		g.mu.Lock()
+		_ = g.process.Process.Signal(syscall.SIGCONT)
+		_ = g.process.Process.Kill()
+		_ = g.process.Wait()
+		g.mu.Unlock()
+		if f.t.Failed() {
+			data, _ := os.ReadFile(g.log())
+			f.t.Logf("%s:\n%s", g.name, tail(data))
+		}
+	}
+}
+
+func (g *gatewayNode) settings() string { return filepath.Join(g.fleet.dir, g.name+".toml") }
+func (g *gatewayNode) log() string      { return filepath.Join(g.fleet.dir, g.name+".log") }
+
+// start runs the program; it must not run already.
+func (g *gatewayNode) start() {
+	log, err := os.OpenFile(g.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(g.fleet.t, err)
+	defer func() { _ = log.Close() }()
+	command := exec.Command(filepath.Join(binaries, "acaciaroute"), "gateway")
+	command.Env = append(os.Environ(), acaciaplatform.SettingsVariable+"="+g.settings())
+	command.Stdout, command.Stderr = log, log
+	assert.NilError(g.fleet.t, command.Start())
+	g.process = command
+}
+
+// restart ends the process by a signal and starts it again.
+func (g *gatewayNode) restart(signal syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_ = g.process.Process.Signal(signal)
+	// A killed process's exit is an error by design.
+	_ = g.process.Wait()
+	g.start()
+}
+
+// pause stops the process for a while.
+func (g *gatewayNode) pause(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_ = g.process.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	_ = g.process.Process.Signal(syscall.SIGCONT)
+}
+
+func (g *gatewayNode) url(path string) string {
+	return fmt.Sprintf("http://%s:%d%s", g.ip, gatewayPort, path)
+}
+
+func (g *gatewayNode) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get(fmt.Sprintf("http://%s:%d/acaciaroute/ready", g.ip, readyPort))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *fleet) addEndpoint() {
+	e := &endpointNode{fleet: f, runs: map[string]int{}}
+	server := httptest.NewServer(e)
+	f.t.Cleanup(server.Close)
+	e.proxy = newProxy(f.t, server.Listener.Addr().String())
+	e.replace()
+	f.endpoints = append(f.endpoints, e)
+}
+
+// replace takes the endpoint off the list and enters it under a new ID.
+func (e *endpointNode) replace() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.id != "" {
+		e.fleet.store.Put("keyed.servers", e.id, nil)
+	}
+	e.birth++
+	e.id = fmt.Sprintf("i-%s-%d", e.proxy.address, e.birth)
+	assert.Check(e.fleet.t, e.fleet.store.PutJSON("keyed.servers", e.id, map[string]any{
+		"service": "s", "address": e.proxy.address, "zone": "a", "slots": 4, "state": "ready", "born": e.birth,
+	}))
+}
+
+// set changes how the endpoint fails.
+func (e *endpointNode) set(failing, losing bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failing, e.losing = failing, losing
+}
+
+// ServeHTTP implements http.Handler as an endpoint of the platform.
+func (e *endpointNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("Attempt-Id")
+	e.mu.Lock()
+	if r.Header.Get("Expect-Instance") != e.id {
+		e.mu.Unlock()
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.runs[id]++
+	failing, losing := e.failing, e.losing
+	e.mu.Unlock()
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Response-Seal", "seal")
+	time.Sleep(workTime)
+	switch {
+	case losing:
+		panic(http.ErrAbortHandler)
+	case failing:
+		w.WriteHeader(http.StatusInternalServerError)
+	case strings.HasPrefix(r.URL.Path, "/stream/"):
+		e.stream(w, r)
+	default:
+		_, _ = fmt.Fprintf(w, "answer to %s of %d bytes", id, len(body))
+	}
+}
+
+func (e *endpointNode) stream(w http.ResponseWriter, r *http.Request) {
+	first := 1
+	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); err == nil {
+		first++
+	}
+	for i := first; i <= streamEvents; i++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, r.Header.Get("Attempt-Id"), i); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(eventTime)
+	}
+}
+
+// ran counts the runs of all requests at all endpoints.
+func (f *fleet) ran() map[string]int {
+	total := map[string]int{}
+	for _, e := range f.endpoints {
+		e.mu.Lock()
+		for id, n := range e.runs {
+			total[id] += n
+		}
+		e.mu.Unlock()
+	}
+	return total
+}
