Never end a stream that goes on with the failure of another endpoint

Seen: three of the first fifty seeds of the gateways' soak (122, 135, 137): a stream of 8 events ended as whole after 5, 6 and 7.

Cause: the endpoint at which the stream went on answered 500; with the runs or the budget used up, its empty body was passed on as a plain answer inside the stream that had begun.

Ruled out: a cut taken for an end (the chunks' end is checked), a killed gateway (its callers see a broken connection).

Change: once a stream has begun, only a 200 goes into it; everything else breaks it off.

--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -321,6 +321,9 @@
 		x.prepaid = true
 		return resultBroken, acaciaschedule.FailedRequest, fmt.Errorf("the endpoint answered %d", answer.Status)
 	}
+	if x.began && answer.Status != http.StatusOK {
+		return resultBroken, acaciaschedule.FailedRequest, fmt.Errorf("the endpoint answered %d to a stream that goes on", answer.Status)
+	}
 	if answer.Status < http.StatusMultipleChoices && !head.Sealed {
 		return resultBroken, acaciaschedule.FailedBroken, errors.New("the answer carries no signature")
 	}
--- a/acaciagateway/gateway_test.go
+++ b/acaciagateway/gateway_test.go
@@ -248,6 +248,25 @@
 	assert.Check(t, !strings.Contains(r.body, "x4"))
 }
 
+// A stream that has begun goes on at an endpoint that fails it (soak seeds 122, 135, 137:
+// the empty body of the failure ended the stream as if it were whole).
+func TestFailureOfAResumedStreamDoesNotEndItAsWhole(t *testing.T) {
+	var starts atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Response-Seal", "seal")
+		if starts.Add(1) > 1 {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		events(w, 1, 2)
+		panic(http.ErrAbortHandler)
+	}
+	b := newBed(t, handler, handler)
+	r := b.send(http.MethodPost, "/stream/", "r-1", "")
+	assert.Check(t, r.err != nil, "body %q", r.body)
+}
+
 func TestNonIdempotentRequestRunsOnceThoughItsAnswerIsLost(t *testing.T) {
 	var ran [3]atomic.Int64
 	lose := func(number int) http.HandlerFunc {
--- a/acaciasystem/gateway_soak_test.go
+++ b/acaciasystem/gateway_soak_test.go
@@ -94,6 +94,24 @@
 	}
 }
 
+// gatewaySeeds once failed; each has a test of its own cause beside it.
+var gatewaySeeds = map[uint64]string{
+	122: "an endpoint's failure ended a resumed stream as if it were whole",
+	135: "an endpoint's failure ended a resumed stream as if it were whole",
+	137: "an endpoint's failure ended a resumed stream as if it were whole",
+}
+
+// TestGatewaySeedsThatOnceFailed plays gatewaySeeds.
+func TestGatewaySeedsThatOnceFailed(t *testing.T) {
+	t.Parallel()
+	for seed, cause := range gatewaySeeds {
+		t.Run(fmt.Sprintf("seed %d: %s", seed, cause), func(t *testing.T) {
+			t.Parallel()
+			runGatewaySoak(t, seed)
+		})
+	}
+}
+
 func runGatewaySoak(t *testing.T, seed uint64) {
 	f := newFleet(t, 3, 4)
 	end := time.Now().Add(gatewaySoakTime)
