Give tests ports without trying them out

Cause: a port was tried out by listening on it and closing. A program that another test starts at that moment holds the socket, too, from its fork to its exec, and the port stays in use.

Change: ports are counted up on the run's own loopback IP and not tried.

--- a/acaciasystem/cluster_test.go
+++ b/acaciasystem/cluster_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -389,24 +390,17 @@
 	return total
 }
 
-// freeAddress returns an address with a free port, used once in a run. It is on a loopback
-// IP of this run's own.
+// freeAddress returns an address with a port of its own, used once in a run. It is on a
+// loopback IP of this run's own and below the ports that the kernel gives to whoever asks.
+// It is not tried out here: a program that another test starts at that moment holds the
+// listening socket, too, from its fork to its exec, and keeps the port in use.
 func freeAddress(t *testing.T) string {
 	t.Helper()
+	port := firstPort + int(lastPort.Add(1))
+	assert.Assert(t, port < ephemeralPort, "no port is left")
 	pid := os.Getpid()
 	ip := net.IPv4(127, byte(128|pid>>16&0x3f), byte(pid>>8), byte(pid))
-	for {
-		// The kernel gives the ports from ephemeralPort on to whoever asks for any, also
-		// between this check and the start of the program that is to listen there.
-		port := firstPort + int(lastPort.Add(1))
-		assert.Assert(t, port < ephemeralPort, "no port is left")
-		listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: ip, Port: port})
-		if err != nil {
-			continue
-		}
-		assert.NilError(t, listener.Close())
-		return listener.Addr().String()
-	}
+	return net.JoinHostPort(ip.String(), strconv.Itoa(port))
 }
 
 func (c *cluster) fault(address, body string) {
