Pass over a waiting request that wants no free place

Cause: a request that may only go to a busy endpoint (it has run there, or has been tried elsewhere) counted as first in the queue over all gateways, so that those behind it left free places empty.

Change: it neither blocks its own queue nor is told as a head.

--- a/acaciaschedule/peer.go
+++ b/acaciaschedule/peer.go
@@ -122,7 +122,9 @@
 		heads := make([]Order, 0, len(v.waiting))
 		for _, request := range v.waiting {
 			ranks[request.Rank]++
-			heads = append(heads, request.order(now))
+			if !request.declines {
+				heads = append(heads, request.order(now))
+			}
 		}
 		slices.Sort(heads)
 		told.Waiting[name], told.Heads[name] = ranks, heads[:min(len(heads), maxHeads)]
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -43,11 +43,13 @@
 		// Only, if it holds any, are the endpoints that may get it.
 		Only []string
 
-		late    bool
-		at      *endpoint
-		service *service
-		placed  time.Time
-		busy    float64
+		late bool
+		// declines tells that there were free places, none of which is good for it.
+		declines bool
+		at       *endpoint
+		service  *service
+		placed   time.Time
+		busy     float64
 	}
 
 	// Decision is what becomes of a waiting request.
@@ -264,13 +266,18 @@
 	v.sort(now)
 	var decisions []Decision
 	kept := v.waiting[:0:0]
-	free := s.freePlaces(v, now)
+	free, blocked := s.freePlaces(v, now), 0
 	queue := v.waiting
 	for i, request := range queue {
 		var e *endpoint
-		// A place that others see free, too, goes to whoever is first over all processes.
-		if ahead := len(kept) + v.peersAhead(request, now); ahead < free {
+		// A place that others see free, too, goes to whoever is first over all processes,
+		// but for those that do not want any of the free ones.
+		request.declines = false
+		if blocked+v.peersAhead(request, now) < free {
 			e = s.place(v, request, now)
+			request.declines = e == nil
+		} else {
+			blocked++
 		}
 		v.waiting = append(slices.Clone(kept), queue[i:]...)
 		switch {
--- a/acaciaschedule/scheduler_test.go
+++ b/acaciaschedule/scheduler_test.go
@@ -210,6 +210,30 @@
 	assert.Check(t, counts["fast"] <= 8, "%v", counts)
 }
 
+// A request that may only go to a busy endpoint does not keep the others from free places,
+// here or at another process.
+func TestRequestThatWantsNoFreePlaceIsPassedOver(t *testing.T) {
+	s, other := newScheduler(), newScheduler()
+	for _, scheduler := range []*Scheduler{s, other} {
+		list(scheduler, "busy", "a", 1)
+		list(scheduler, "idle", "a", 1)
+	}
+	first := request("first", 0, at(0))
+	first.Only = []string{"busy"}
+	s.Add(first)
+	placed(s, at(0))
+	again := request("again", 0, at(1))
+	again.Only = []string{"busy"}
+	s.Add(again)
+	assert.Equal(t, len(placed(s, at(1))), 0)
+	told := s.Tell(at(1))
+	other.Hear("s", &told, at(2))
+	other.Add(request("there", 1, at(2)))
+	assert.DeepEqual(t, placed(other, at(2)), map[string]string{"there": "idle"})
+	s.Add(request("here", 1, at(2)))
+	assert.DeepEqual(t, placed(s, at(2)), map[string]string{"here": "idle"})
+}
+
 func TestFailingEndpointIsSparedAndTriedAgain(t *testing.T) {
 	s := newScheduler()
 	list(s, "e", "a", 1)
