Name the watchdog's and the scheduler's parts by the field's terms

An endpoint is suspended, not spared; the watchdog expires and fires, the heartbeat is one. The watchdog's timers start once they are in place, so that the functions that set them anew do not race with the assignment.

--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -99,7 +99,7 @@
 		event := x.event(acaciaevent.RequestDispatched)
 		event.Inputs = x.inputs(&decision)
 		x.gateway.recorder.Record(event)
-		ended, failure, err := x.watch(ctx, want, decision.Inputs.ExpectedHere)
+		ended, failure, err := x.callGuarded(ctx, want, decision.Inputs.ExpectedHere)
 		x.release(want, failure)
 		switch {
 		case ended == resultAnswered:
@@ -128,7 +128,7 @@
 		if x.organisation == nil {
 			return
 		}
-		if ok, wait := g.quota.Take(x.organisation.Name, x.cost(), g.scheduler.Spare(x.service, now), now); !ok {
+		if ok, wait := g.quota.Take(x.organisation.Name, x.cost(), g.scheduler.HasSpare(x.service, now), now); !ok {
 			refusal = &acaciaroute.Error{Code: acaciaroute.CodeQuota, Detail: "the organisation's quota is used up", RetryAfter: wait}
 		}
 	})
@@ -286,7 +286,7 @@
 }
 
 // call sends the request to the endpoint and relays the answer.
-func (x *exchange) call(ctx context.Context, want *acaciaschedule.Request, dog *watchdog) (result, acaciaschedule.Failure, error) {
+func (x *exchange) call(ctx context.Context, want *acaciaschedule.Request, guard *watchdog) (result, acaciaschedule.Failure, error) {
 	organisation := ""
 	if x.organisation != nil {
 		organisation = x.organisation.Name
@@ -307,7 +307,7 @@
 		Matches: x.matches,
 	})
 	if err != nil {
-		return x.failedStart(ctx, dog, err)
+		return x.failedStart(ctx, guard, err)
 	}
 	defer answer.Close()
 	head := acaciaplatform.DecodeAnswer(answer.Header)
@@ -328,9 +328,9 @@
 		return resultBroken, acaciaschedule.FailedBroken, errors.New("the answer carries no signature")
 	}
 	if x.route.Kind == acaciasite.KindStream && answer.Status == http.StatusOK {
-		return x.relayStream(ctx, answer, want, dog)
+		return x.relayStream(ctx, answer, want, guard)
 	}
-	return x.relayPlain(ctx, answer, dog)
+	return x.relayPlain(ctx, answer, guard)
 }
 
 // matches tells whether an answer belongs to the request. Some refusals do not say.
@@ -340,7 +340,7 @@
 }
 
 // failedStart sorts a call that brought no answer.
-func (x *exchange) failedStart(ctx context.Context, dog *watchdog, err error) (result, acaciaschedule.Failure, error) {
+func (x *exchange) failedStart(ctx context.Context, guard *watchdog, err error) (result, acaciaschedule.Failure, error) {
 	if x.r.Context().Err() != nil {
 		x.ranHere()
 		return resultGone, 0, err
@@ -350,8 +350,8 @@
 		return resultNotRun, acaciaschedule.FailedUnreached, err
 	}
 	x.ranHere()
-	if dog.barked() {
-		return resultBroken, dog.failure(), dog.reason()
+	if guard.fired() {
+		return resultBroken, guard.failure(), guard.reason()
 	}
 	x.suspect(ctx)
 	return resultBroken, acaciaschedule.FailedBroken, err
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -129,7 +129,7 @@
 	if err := g.listenPeers(ctx); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){g.hearPeers, g.followConfiguration, g.followEndpoints, g.followPeers, g.beat} {
+	for _, run := range []func(context.Context){g.hearPeers, g.followConfiguration, g.followEndpoints, g.followPeers, g.heartbeat} {
 		worker := acacialoop.NewWorker()
 		worker.Start(ctx, run)
 		g.workers = append(g.workers, worker)
--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -19,8 +19,8 @@
 	// tellTimeOfOne is what each other process adds to it, so that the cost of messages
 	// does not grow with the square of the processes.
 	tellTimeOfOne = 2 * time.Millisecond
-	// beatTime is the longest.
-	beatTime = 400 * time.Millisecond
+	// heartbeatTime is the longest.
+	heartbeatTime = 400 * time.Millisecond
 	// maxMessageBytes bounds a message.
 	maxMessageBytes = 60 << 10
 	// fetchTime bounds the call for a peer's configuration.
@@ -84,10 +84,10 @@
 	}
 }
 
-// beat keeps the others aware of a gateway without requests, and finds silent ones.
-func (g *Gateway) beat(ctx context.Context) {
+// heartbeat keeps the others aware of a gateway without requests, and finds silent ones.
+func (g *Gateway) heartbeat(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, beatTime)
+		sleep(ctx, heartbeatTime)
 		g.loop.Do(func() {
 			now := g.loop.Now()
 			for _, name := range g.members.Silent(now) {
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -30,14 +30,14 @@
 var errEventTooLong = errors.New("an event is too long")
 
 // relayPlain reads an answer whole and passes it on.
-func (x *exchange) relayPlain(ctx context.Context, answer *acaciaupstream.Answer, dog *watchdog) (result, acaciaschedule.Failure, error) {
+func (x *exchange) relayPlain(ctx context.Context, answer *acaciaupstream.Answer, guard *watchdog) (result, acaciaschedule.Failure, error) {
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			return resultGone, 0, err
 		}
-		if dog.barked() {
-			return resultBroken, dog.failure(), dog.reason()
+		if guard.fired() {
+			return resultBroken, guard.failure(), guard.reason()
 		}
 		x.suspect(ctx)
 		return resultBroken, acaciaschedule.FailedBroken, err
@@ -59,7 +59,7 @@
 }
 
 // relayStream passes whole events on as they come.
-func (x *exchange) relayStream(ctx context.Context, answer *acaciaupstream.Answer, want *acaciaschedule.Request, dog *watchdog) (result, acaciaschedule.Failure, error) {
+func (x *exchange) relayStream(ctx context.Context, answer *acaciaupstream.Answer, want *acaciaschedule.Request, guard *watchdog) (result, acaciaschedule.Failure, error) {
 	flusher := http.NewResponseController(x.w)
 	var pending []byte
 	buffer := make([]byte, streamBytes)
@@ -68,7 +68,7 @@
 		pending = append(pending, buffer[:n]...)
 		whole, rest, eventErr := x.split(pending)
 		if len(whole) > 0 {
-			dog.feed(max(eventSilence, gapFactor*x.route.MaxGap))
+			guard.progress(max(eventSilence, gapFactor*x.route.MaxGap))
 			x.begin(answer)
 			if _, err := x.w.Write(whole); err != nil {
 				return resultGone, 0, err
@@ -95,8 +95,8 @@
 		if x.r.Context().Err() != nil {
 			return resultGone, 0, err
 		}
-		if dog.barked() {
-			return resultBroken, dog.failure(), dog.reason()
+		if guard.fired() {
+			return resultBroken, guard.failure(), guard.reason()
 		}
 		if ctx.Err() == nil {
 			answer.Close()
--- a/acaciagateway/suspect.go
+++ b/acaciagateway/suspect.go
@@ -1,8 +1,6 @@
 package acaciagateway
 
-import (
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 type (
 	// suspects counts the endpoints that died while they ran a content, over all
--- a/acaciagateway/watchdog.go
+++ b/acaciagateway/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -14,6 +15,8 @@
 	// watchdog breaks a call off whose endpoint has fallen silent, if the request can go
 	// to another one now.
 	watchdog struct {
+		// timer ends when the endpoint has been silent for too long, slow when the stream
+		// may move to a faster one.
 		timer *time.Timer
 		slow  *time.Timer
 		ctx   context.Context
@@ -37,6 +40,8 @@
 	// endpoint; moveAgain is the time between two looks for one.
 	moveShare = 0.75
 	moveAgain = 300 * time.Millisecond
+
+	never time.Duration = math.MaxInt64
 )
 
 var (
@@ -44,22 +49,25 @@
 	errSlow   = errors.New("the endpoint is too slow for the rest of the stream")
 )
 
-// watch calls the endpoint under a watchdog.
-func (x *exchange) watch(ctx context.Context, want *acaciaschedule.Request, expected time.Duration) (result, acaciaschedule.Failure, error) {
+// callGuarded calls the endpoint under a watchdog.
+func (x *exchange) callGuarded(ctx context.Context, want *acaciaschedule.Request, expected time.Duration) (result, acaciaschedule.Failure, error) {
 	called, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	limit := silenceFactor*expected + plainSilence
 	if x.route.Kind == acaciasite.KindStream {
 		limit = silenceFactor*expected + firstSilence
 	}
-	dog := &watchdog{ctx: called, limit: limit, movable: x.movable(want)}
-	dog.timer = time.AfterFunc(limit, func() { x.bark(want, dog, cancel) })
-	defer dog.timer.Stop()
+	guard := &watchdog{ctx: called, limit: limit, movable: x.movable(want)}
+	// The timers start once they are in place for the functions that set them anew.
+	guard.timer = time.AfterFunc(never, func() { x.expire(want, guard, cancel) })
+	guard.timer.Reset(limit)
+	defer guard.timer.Stop()
 	whole := x.deadline.Sub(x.arrived)
-	dog.slow = time.AfterFunc(time.Duration(moveShare*float64(whole))-time.Since(x.arrived), func() { x.move(want, dog, cancel) })
-	defer dog.slow.Stop()
-	ended, failure, err := x.call(called, want, dog)
-	if dog.barked() {
+	guard.slow = time.AfterFunc(never, func() { x.move(want, guard, cancel) })
+	guard.slow.Reset(time.Duration(moveShare*float64(whole)) - time.Since(x.arrived))
+	defer guard.slow.Stop()
+	ended, failure, err := x.call(called, want, guard)
+	if guard.fired() {
 		// The watchdog has paid for what it broke off.
 		x.prepaid = true
 	}
@@ -68,15 +76,15 @@
 
 // move breaks off a stream that has used much of its time, if another endpoint has room
 // and is much faster: a long answer from a slow engine would not be whole in time.
-func (x *exchange) move(want *acaciaschedule.Request, dog *watchdog, cancel context.CancelCauseFunc) {
+func (x *exchange) move(want *acaciaschedule.Request, guard *watchdog, cancel context.CancelCauseFunc) {
 	g := x.gateway
 	g.loop.Post(func() {
-		if dog.ctx.Err() != nil || !dog.movable || x.route.Kind != acaciasite.KindStream {
+		if guard.ctx.Err() != nil || !guard.movable || x.route.Kind != acaciasite.KindStream {
 			return
 		}
 		now := g.loop.Now()
 		if !g.scheduler.Faster(want, now) || !g.repeats.Repeat(x.service, g.members.Count(), now) {
-			dog.slow.Reset(moveAgain)
+			guard.slow.Reset(moveAgain)
 			return
 		}
 		cancel(errSlow)
@@ -96,33 +104,33 @@
 	return ran < x.route.MaxEndpoints || len(want.Only) > 1
 }
 
-// bark breaks the call off if the request may be sent again and another endpoint has
+// expire breaks the call off if the request may be sent again and another endpoint has
 // room; if not, it looks again later.
-func (x *exchange) bark(want *acaciaschedule.Request, dog *watchdog, cancel context.CancelCauseFunc) {
+func (x *exchange) expire(want *acaciaschedule.Request, guard *watchdog, cancel context.CancelCauseFunc) {
 	g := x.gateway
 	g.loop.Post(func() {
-		if dog.ctx.Err() != nil {
+		if guard.ctx.Err() != nil {
 			return
 		}
 		now := g.loop.Now()
-		if !dog.movable {
+		if !guard.movable {
 			return
 		}
 		if !g.scheduler.Elsewhere(want, now) || !g.repeats.Repeat(x.service, g.members.Count(), now) {
-			dog.timer.Reset(dog.limit)
+			guard.timer.Reset(guard.limit)
 			return
 		}
 		cancel(errSilent)
 	})
 }
 
-// feed notes progress; limit is how long the next one may take.
-func (d *watchdog) feed(limit time.Duration) {
+// progress notes progress; limit is how long the next one may take.
+func (d *watchdog) progress(limit time.Duration) {
 	d.timer.Reset(limit)
 }
 
-// barked tells whether the watchdog has broken the call off.
-func (d *watchdog) barked() bool {
+// fired tells whether the watchdog has broken the call off.
+func (d *watchdog) fired() bool {
 	return d.reason() != nil
 }
 
--- a/acaciaschedule/failure.go
+++ b/acaciaschedule/failure.go
@@ -28,13 +28,13 @@
 	failureFade = 0.2
 	// failureCost is how many times longer an endpoint counts that always fails.
 	failureCost = 6
-	// fullPause is how long an endpoint is spared that has no room.
+	// fullPause is how long an endpoint is suspended that has no room.
 	fullPause = 60 * time.Millisecond
-	// firstPause is how long an endpoint is spared that has broken off an answer, and
+	// firstPause is how long an endpoint is suspended that has broken off an answer, and
 	// maxPause how long at most, after several in a row.
 	firstPause = 200 * time.Millisecond
 	maxPause   = 3 * time.Second
-	// replacedPause spares an address that another endpoint has.
+	// replacedPause suspends an address that another endpoint has.
 	replacedPause = 30 * time.Second
 	maxDoublings  = 5
 )
@@ -46,7 +46,7 @@
 	e.downUntil = time.Time{}
 }
 
-// fail notes a failure and spares the endpoint for a while.
+// fail notes a failure and suspends the endpoint for a while.
 func (e *endpoint) fail(failure Failure, now time.Time) {
 	e.failing += failureFade * (1 - e.failing)
 	pause := time.Duration(0)
@@ -64,13 +64,13 @@
 	if failure == FailedUnreached {
 		e.downUntil = now.Add(pause)
 	}
-	e.spare(now.Add(pause))
+	e.suspend(now.Add(pause))
 }
 
-// spare keeps new requests from the endpoint until a moment.
-func (e *endpoint) spare(until time.Time) {
-	if until.After(e.spared) {
-		e.spared = until
+// suspend keeps new requests from the endpoint until a moment.
+func (e *endpoint) suspend(until time.Time) {
+	if until.After(e.suspendedUntil) {
+		e.suspendedUntil = until
 	}
 }
 
--- a/acaciaschedule/peer.go
+++ b/acaciaschedule/peer.go
@@ -38,7 +38,7 @@
 	// headTime is how long a process's first requests count as waiting after its word: one
 	// that has gone silent must not keep the others from free places.
 	headTime = 300 * time.Millisecond
-	// heardPause is how long an endpoint is spared to which another process could not
+	// heardPause is how long an endpoint is suspended to which another process could not
 	// connect.
 	heardPause = 300 * time.Millisecond
 	// maxHeads is how many of its first requests of a service a process tells.
@@ -78,7 +78,7 @@
 	}
 	for _, id := range told.Down {
 		if e := s.byID[id]; e != nil && e.downUntil.IsZero() {
-			e.spare(now.Add(heardPause))
+			e.suspend(now.Add(heardPause))
 		}
 	}
 	for name, v := range s.services {
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -27,11 +27,11 @@
 		// pace is the time between two events of a stream; zero if it is not known.
 		pace time.Duration
 
-		slowness float64
-		observed int
-		failing  float64
-		inRow    int
-		spared   time.Time
+		slowness       float64
+		observed       int
+		failing        float64
+		inRow          int
+		suspendedUntil time.Time
 		// downUntil is until when the others are told that this process could not connect;
 		// zero while it can.
 		downUntil time.Time
@@ -74,7 +74,7 @@
 
 // free is how many more requests the endpoint can take.
 func (s *Scheduler) free(e *endpoint, now time.Time) int {
-	if !e.usable() || now.Before(e.spared) {
+	if !e.usable() || now.Before(e.suspendedUntil) {
 		return 0
 	}
 	places := e.info.Places
--- a/acaciaschedule/queue.go
+++ b/acaciaschedule/queue.go
@@ -66,7 +66,7 @@
 func (v *service) wait(request *Request, now time.Time) time.Duration {
 	places := 0
 	for _, e := range v.endpoints {
-		if e.usable() && !now.Before(e.spared) {
+		if e.usable() && !now.Before(e.suspendedUntil) {
 			places += e.info.Places
 		}
 	}
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -209,8 +209,8 @@
 	return false
 }
 
-// Spare reports whether a service has free places and nothing waits for them.
-func (s *Scheduler) Spare(name string, now time.Time) bool {
+// HasSpare reports whether a service has free places and nothing waits for them.
+func (s *Scheduler) HasSpare(name string, now time.Time) bool {
 	v := s.service(name)
 	return len(v.waiting) == 0 && v.peersWaiting(func(int) bool { return true }) == 0 && s.freePlaces(v, now) > 0
 }
