--- a/acaciabatch/fit.go
+++ b/acaciabatch/fit.go
@@ -1,9 +1,11 @@
 package acaciabatch
 
-// fit is a line through weighted points: gap = base + slope × running. Old
-// points fade, and a weak prior keeps it sensible while there are few.
+import "github.com/acaciaroute/acaciaroute/acaciafit"
+
+// fit is a line through the observed times between tokens: gap = base + slope × running.
+// A weak prior keeps it sensible while there are few.
 type fit struct {
-	weight, x, y, xx, xy float64
+	acaciafit.Line
 }
 
 const (
@@ -20,26 +22,18 @@
 	minSlope = 0.00002
 )
 
-// add takes a point: the time between tokens in seconds while running requests
-// were in the batch.
-func (f *fit) add(running, gap float64) {
-	f.weight = fade*f.weight + 1
-	f.x = fade*f.x + running
-	f.y = fade*f.y + gap
-	f.xx = fade*f.xx + running*running
-	f.xy = fade*f.xy + running*gap
+func newFit() fit {
+	return fit{acaciafit.New(acaciafit.Settings{
+		Fade: fade, PriorSlope: priorSlope, PriorVariance: priorWeight * priorSpread * priorSpread,
+	})}
 }
 
 // line returns the base and slope in seconds.
 func (f *fit) line() (base, slope float64) {
-	if f.weight == 0 {
+	if f.Empty() {
 		return priorBase, priorSlope
 	}
-	meanX, meanY := f.x/f.weight, f.y/f.weight
-	varianceX := f.xx - f.weight*meanX*meanX
-	covariance := f.xy - f.weight*meanX*meanY
-	priorVariance := float64(priorWeight * priorSpread * priorSpread)
-	slope = (covariance + priorVariance*priorSlope) / (varianceX + priorVariance)
+	meanX, meanY, slope := f.Fit()
 	slope = max(slope, minSlope)
 	return max(0, meanY-slope*meanX), slope
 }
--- a/acaciabatch/learner.go
+++ b/acaciabatch/learner.go
@@ -64,7 +64,7 @@
 
 // New returns a learner that knows nothing.
 func New() *Learner {
-	return &Learner{slowdown: 1, most: initialMost, prefillRate: initialPrefillRate}
+	return &Learner{steps: newFit(), slowdown: 1, most: initialMost, prefillRate: initialPrefillRate}
 }
 
 // Limit returns the number of requests with which the mean time between tokens
@@ -176,7 +176,7 @@
 func (l *Learner) learn(running, gap float64, prefilling bool) {
 	if !prefilling {
 		l.prefillShare -= shareWeight * l.prefillShare
-		l.steps.add(running, gap)
+		l.steps.Add(running, gap)
 		return
 	}
 	l.prefillShare += shareWeight * (1 - l.prefillShare)
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -352,6 +352,7 @@
 			endpoints: map[string]*endpoint{},
 			peers:     map[string]peer{},
 			had:       map[string]float64{},
+			speed:     newSpeed(),
 			hold:      priorHold,
 		}
 		s.services[name] = v
--- a/acaciaschedule/speed.go
+++ b/acaciaschedule/speed.go
@@ -1,15 +1,17 @@
 package acaciaschedule
 
-import "time"
+import (
+	"time"
 
-type (
-	// speed predicts the time to the first part of an answer from the size of the
-	// prompt, by a line through the observations of a service.
-	speed struct {
-		weight, x, y, xx, xy float64
-	}
+	"github.com/acaciaroute/acaciaroute/acaciafit"
 )
 
+// speed predicts the time to the first part of an answer from the size of the prompt, by a
+// line through the observations of a service.
+type speed struct {
+	acaciafit.Line
+}
+
 const (
 	// speedFade is the factor by which an observation reduces the weight of older ones.
 	speedFade = 0.99
@@ -31,27 +33,20 @@
 	silenceFactor = 2
 )
 
-// add takes the time to the first part of an answer, in seconds, at an endpoint of usual
-// speed.
-func (s *speed) add(tokens, first float64) {
-	s.weight = speedFade*s.weight + 1
-	s.x = speedFade*s.x + tokens
-	s.y = speedFade*s.y + first
-	s.xx = speedFade*s.xx + tokens*tokens
-	s.xy = speedFade*s.xy + tokens*first
+func newSpeed() speed {
+	return speed{acaciafit.New(acaciafit.Settings{
+		Fade: speedFade, PriorSlope: priorPerToken, PriorVariance: priorWeight * priorSpread * priorSpread,
+	})}
 }
 
-// first predicts, in seconds, the time to the first part of an answer.
+// first predicts, in seconds, the time to the first part of an answer at an endpoint of
+// usual speed.
 func (s *speed) first(tokens float64) float64 {
-	if s.weight == 0 {
+	if s.Empty() {
 		return priorBase + priorPerToken*tokens
 	}
-	meanX, meanY := s.x/s.weight, s.y/s.weight
-	variance := s.xx - s.weight*meanX*meanX
-	covariance := s.xy - s.weight*meanX*meanY
-	prior := float64(priorWeight * priorSpread * priorSpread)
-	slope := max(0, (covariance+prior*priorPerToken)/(variance+prior))
-	return max(meanY+slope*(tokens-meanX), meanY/4)
+	meanX, meanY, slope := s.Fit()
+	return max(meanY+max(slope, 0)*(tokens-meanX), meanY/4)
 }
 
 // expect predicts the time to the first part of an answer at an endpoint.
@@ -91,5 +86,5 @@
 		e.slowness += slownessFade * (ratio - e.slowness)
 	}
 	e.observed++
-	s.speed.add(float64(request.PromptTokens), took.Seconds()/(e.slowness*(1+crowding*busy)))
+	s.speed.Add(float64(request.PromptTokens), took.Seconds()/(e.slowness*(1+crowding*busy)))
 }
