Keep the platform's words in platform/, and refuse answers that are cut short here

Read again as a newcomer: - The gateway's tests and its soak each wrote the platform's configuration, headers and entries, in the platform's words.

--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -27,11 +27,17 @@
 	minPaced = 4
 )
 
-var errEventTooLong = errors.New("an event is too long")
+var (
+	errAnswerTooLong = errors.New("the answer is too long")
+	errEventTooLong  = errors.New("an event is too long")
+)
 
 // relayPlain reads an answer whole and passes it on.
 func (x *exchange) relayPlain(ctx context.Context, answer *acaciaupstream.Answer, guard *watchdog) (result, acaciaschedule.Failure, error) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLong
+	}
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			return resultGone, 0, err
--- a/acaciasystem/gateway_cluster_test.go
+++ b/acaciasystem/gateway_cluster_test.go
@@ -18,8 +18,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/acaciaroute/acaciaroute/acaciastandin"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
+	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
 
 type (
@@ -27,7 +27,7 @@
 	fleet struct {
 		t         *testing.T
 		dir       string
-		store     *acaciastandin.Store
+		store     *acaciaplatformstandin.Store
 		storeURL  string
 		gateways  []*gatewayNode
 		endpoints []*endpointNode
@@ -62,42 +62,11 @@
 )
 
 const (
-	gatewayPort   = 8221
-	readyPort     = 8224
-	fleetKey      = "fleet-key"
-	streamEvents  = 8
-	eventTime     = 5 * time.Millisecond
-	workTime      = 10 * time.Millisecond
-	fleetSettings = `nodeName = "%[1]s"
-ip = "%[2]s"
-zone = "a"
-region = "r"
-portRange = [7600,7615]
-seedNodes = ["%[3]s:8229"]
-[zones]
-a = "r"
-[bind]
-front = "%[2]s:8221"
-ready = "%[2]s:8224"
-[limits]
-memoryMb = 284
-[bounds]
-graceS = 8
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retrySlack = 50
-quotaWindowS = 8
-quotaOverrun = 0.1
-quotaSlack = 100
-[platform]
-address = "%[4]s"
-`
-	fleetConfiguration = `{"version":%d,"routes":[
- {"name":"safe","host":"h","pathPrefix":"/safe/","routeType":"idempotent","timeoutMs":%d,"targetLatencyMs":400,"maxAttempts":2,"service":"s"},
- {"name":"unsafe","host":"h","pathPrefix":"/unsafe/","routeType":"non_idempotent","timeoutMs":3000,"targetLatencyMs":400,"maxAttempts":1,"service":"s"},
- {"name":"stream","host":"h","pathPrefix":"/stream/","routeType":"streaming","timeoutMs":5000,"targetLatencyMs":400,"maxAttempts":2,"service":"s","streamResume":true}],
- "services":[{"name":"s","maxConnections":100}],"limits":{"maxBodyBytes":100000},
- "tenants":[{"name":"club","apiKeys":["` + fleetKey + `"]}]}`
+	gatewayPort  = 8221
+	readyPort    = 8224
+	streamEvents = 8
+	eventTime    = 5 * time.Millisecond
+	workTime     = 10 * time.Millisecond
 )
 
 var fleets atomic.Int64
@@ -105,7 +74,7 @@
 // newFleet starts gateways and endpoints and waits until all gateways are ready.
 func newFleet(t *testing.T, gateways, endpoints int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), store: acaciastandin.NewStore()}
+	f := &fleet{t: t, dir: t.TempDir(), store: acaciaplatformstandin.NewStore()}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.storeURL = server.Listener.Addr().String()
@@ -119,8 +88,8 @@
 	}
 	for i := range gateways {
 		g := &gatewayNode{fleet: f, name: fmt.Sprint("gateway-", i), ip: ip(i), toStore: newProxy(t, f.storeURL)}
-		text := fmt.Sprintf(fleetSettings, g.name, g.ip, ip(0), g.toStore.address)
-		assert.NilError(t, os.WriteFile(g.settings(), []byte(text), 0o600))
+		text := acaciaplatformstandin.Settings(g.name, g.ip, ip(0), g.toStore.address, gatewayPort, readyPort)
+		assert.NilError(t, os.WriteFile(g.settings(), text, 0o600))
 		f.gateways = append(f.gateways, g)
 		g.start()
 	}
@@ -133,8 +102,8 @@
 
 // publish writes the next version of the configuration; only a timeout changes.
 func (f *fleet) publish() {
-	version := f.version.Add(1)
-	f.store.Put("keyed.op", "config", fmt.Appendf(nil, fleetConfiguration, version*3, 2000+version))
+	version := int(f.version.Add(1))
+	f.store.PutConfiguration(acaciaplatformstandin.Configuration(version*3, 2000+version, 0))
 }
 
 func (f *fleet) close() {
@@ -213,13 +182,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.id != "" {
-		e.fleet.store.Put("keyed.servers", e.id, nil)
+		e.fleet.store.DropEndpoint(e.id)
 	}
 	e.birth++
 	e.id = fmt.Sprintf("i-%s-%d", e.proxy.address, e.birth)
-	assert.Check(e.fleet.t, e.fleet.store.PutJSON("keyed.servers", e.id, map[string]any{
-		"service": "s", "address": e.proxy.address, "zone": "a", "slots": 4, "state": "ready", "born": e.birth,
-	}))
+	assert.Check(e.fleet.t, e.fleet.store.PutEndpoint(e.id, e.proxy.address, 4, false, e.birth))
 }
 
 // set changes how the endpoint fails.
@@ -235,19 +202,17 @@
 	if err != nil {
 		return
 	}
-	id := r.Header.Get("Attempt-Id")
+	id := r.Header.Get(acaciaplatformstandin.HeaderRequestID)
 	e.mu.Lock()
-	if r.Header.Get("Expect-Instance") != e.id {
+	if r.Header.Get(acaciaplatformstandin.HeaderEndpoint) != e.id {
 		e.mu.Unlock()
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		acaciaplatformstandin.RefuseUnrun(w, http.StatusMisdirectedRequest)
 		return
 	}
 	e.runs[id]++
 	failing, losing := e.failing, e.losing
 	e.mu.Unlock()
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Response-Seal", "seal")
+	acaciaplatformstandin.Seal(w, r, "seal")
 	time.Sleep(workTime)
 	switch {
 	case losing:
@@ -267,7 +232,7 @@
 		first++
 	}
 	for i := first; i <= streamEvents; i++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, r.Header.Get("Attempt-Id"), i); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, r.Header.Get(acaciaplatformstandin.HeaderRequestID), i); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
--- a/acaciasystem/gateway_soak_test.go
+++ b/acaciasystem/gateway_soak_test.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
+	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
 
 type (
@@ -53,7 +56,7 @@
 		f.store.SetDown(false)
 	},
 	func(f *fleet, r *rand.Rand, _ time.Duration) {
-		f.store.Forget([]string{"keyed.op", "keyed.servers", "keyed.status"}[r.IntN(3)])
+		f.store.Forget(string(pick(storeTopics, r)))
 	},
 	func(f *fleet, _ *rand.Rand, _ time.Duration) { f.publish() },
 	func(f *fleet, r *rand.Rand, _ time.Duration) { pick(f.endpoints, r).proxy.cut() },
@@ -75,6 +78,11 @@
 	},
 }
 
+// storeTopics are the topics that gateways read.
+var storeTopics = []acaciaplatform.Topic{
+	acaciaplatform.TopicConfiguration, acaciaplatform.TopicEndpoints, acaciaplatform.TopicPeers,
+}
+
 func pick[T any](things []T, random *rand.Rand) T {
 	return things[random.IntN(len(things))]
 }
@@ -157,9 +165,7 @@
 	if err != nil {
 		return outcome{kind: kind, id: id, err: err}
 	}
-	request.Host = "h"
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Authorization", "Bearer "+fleetKey)
+	acaciaplatformstandin.Ask(request, id)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return outcome{kind: kind, id: id, err: err}
@@ -167,7 +173,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	return outcome{
-		kind: kind, id: id, status: response.StatusCode, body: string(body), seal: response.Header.Get("Response-Seal"), err: err,
+		kind: kind, id: id, status: response.StatusCode, body: string(body), seal: response.Header.Get(acaciaplatformstandin.HeaderSeal), err: err,
 	}
 }
 
