Charge no organisation for a request that has not run

Cause: the charge was given back only when a request got no place. When its caller left while it waited, or its time ended before an endpoint had seen it, the organisation stayed charged.

Change: every end of a request that has not run gives the charge back; a call whose bytes never left counts as not run also when the caller has left meanwhile.

TestQuotaIsGivenBackForACallerThatLeavesWhileItWaits failed first (the charge never came back) and passes.

--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -174,7 +174,6 @@
 
 // giveUp ends a request that got no place.
 func (x *exchange) giveUp(ctx context.Context, decision *acaciaschedule.Decision, err error) {
-	g := x.gateway
 	switch {
 	case x.r.Context().Err() != nil:
 		x.stop(ctx, resultGone)
@@ -183,9 +182,7 @@
 	case x.runs > 0:
 		x.refuse(&acaciaroute.Error{Code: acaciaroute.CodeOutcomeUnknown, Detail: "an endpoint failed and no other had room", Err: err}, decision)
 	default:
-		if x.organisation != nil {
-			g.loop.Post(func() { g.quota.Return(x.organisation.Name, x.cost()) })
-		}
+		x.refund()
 		x.refuse(err, decision)
 	}
 }
@@ -262,8 +259,18 @@
 	}
 }
 
+// refund gives back what the organisation was charged for a request that has not run.
+func (x *exchange) refund() {
+	if x.organisation == nil || x.runs > 0 {
+		return
+	}
+	g := x.gateway
+	g.loop.Post(func() { g.quota.Return(x.organisation.Name, x.cost()) })
+}
+
 // stop ends a request whose time is over or whose caller has left.
 func (x *exchange) stop(ctx context.Context, ended result) {
+	x.refund()
 	if x.r.Context().Err() != nil || ended == resultGone {
 		event := x.event(acaciaevent.RequestCancelled)
 		event.Inputs, event.Detail = x.inputs(nil), errCallerGone.Error()
@@ -345,15 +352,17 @@
 
 // failedStart sorts a call that brought no answer.
 func (x *exchange) failedStart(ctx context.Context, guard *watchdog, err error) (result, acaciaschedule.Failure, error) {
-	if x.r.Context().Err() != nil {
+	var failed *acaciaupstream.Error
+	unreached := errors.As(err, &failed) && !failed.Reached
+	if !unreached {
 		x.ranHere()
-		return resultGone, 0, err
 	}
-	var failed *acaciaupstream.Error
-	if errors.As(err, &failed) && !failed.Reached {
+	switch {
+	case x.r.Context().Err() != nil:
+		return resultGone, 0, err
+	case unreached:
 		return resultNotRun, acaciaschedule.FailedUnreached, err
 	}
-	x.ranHere()
 	if guard.fired() {
 		return resultBroken, guard.failure(), guard.reason()
 	}
--- a/acaciagateway/request_test.go
+++ b/acaciagateway/request_test.go
@@ -121,6 +121,52 @@
 	assert.Check(t, last.header.Get("Retry-After") != "")
 }
 
+// An organisation is not charged for requests whose callers leave while they wait.
+func TestQuotaIsGivenBackForACallerThatLeavesWhileItWaits(t *testing.T) {
+	const requests = 8
+	var reached atomic.Int64
+	b := newBed(t, func(_ http.ResponseWriter, r *http.Request) {
+		reached.Add(1)
+		<-r.Context().Done()
+	})
+	b.store.PutConfiguration(acaciaplatformstandin.Configuration(2, 60_000, 1_000_000))
+	waitFor(t, func() bool { return b.gateway.configuration.Load().Version == 2 })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, requests)
+	for i := range requests {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, b.url+"/safe/", nil)
+		assert.NilError(t, err)
+		acaciaplatformstandin.Ask(request, fmt.Sprintf("r-%d", i))
+		go func() {
+			do(request)
+			ended <- struct{}{}
+		}()
+	}
+	used := func() (n float64) {
+		b.gateway.loop.Do(func() {
+			for _, cost := range b.gateway.quota.Used() {
+				n += cost
+			}
+		})
+		return n
+	}
+	running := func() (n int64) {
+		b.gateway.loop.Do(func() {
+			for _, count := range b.gateway.scheduler.Tell(time.Now()).Running {
+				n += int64(count)
+			}
+		})
+		return n
+	}
+	waitFor(t, func() bool { return used() == requests && running() > 0 && reached.Load() == running() })
+	cancel()
+	for range requests {
+		<-ended
+	}
+	waitFor(t, func() bool { return used() == float64(reached.Load()) })
+	assert.Check(t, reached.Load() < requests)
+}
+
 // Bytes behind a body in chunks are not a request.
 func TestBytesBehindAChunkedBodyAreNoRequest(t *testing.T) {
 	var ran atomic.Int64
