--- a/acaciabudget/quota.go
+++ b/acaciabudget/quota.go
@@ -51,6 +51,8 @@
 		level     float64
 		reserve   float64
 		at        time.Time
+		// meanCost is that of the latest requests, whether they passed or not.
+		meanCost float64
 		// total is what this process has used since its start.
 		total float64
 	}
@@ -68,9 +70,11 @@
 	// maxKept the most that any class leaves.
 	keptOfRank = 0.15
 	maxKept    = 0.45
-	// smallCost is the part of the bucket up to which a request leaves nothing: turning it
-	// away would hardly help the classes above it.
-	smallCost = 0.001
+	// smallCost is the part of the mean cost up to which a request leaves nothing: turning
+	// it away would hardly help the classes above it. meanOver is how many requests the
+	// mean is taken over.
+	smallCost = 0.2
+	meanOver  = 100
 )
 
 // NewQuota returns quotas of no organisation.
@@ -115,6 +119,7 @@
 		return true, 0
 	}
 	q.refill(a, now)
+	a.meanCost += (charge.Cost - a.meanCost) / meanOver
 	has := a.level
 	if charge.Spare {
 		has += max(a.reserve, 0)
@@ -131,7 +136,7 @@
 // bucket passes when the bucket is full.
 func (q *Quota) need(a *account, charge Charge) float64 {
 	need := charge.Cost
-	if need > smallCost*a.burst {
+	if need > smallCost*a.meanCost {
 		need += min(float64(charge.Rank)*keptOfRank, maxKept) * a.burst * q.share
 	}
 	return min(need, a.burst*q.share)
