--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -13,78 +12,54 @@
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciaschedule"
 	"github.com/acaciaroute/acaciaroute/acaciasite"
-	"github.com/acaciaroute/acaciaroute/acaciaupstream"
-	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 )
 
-type (
-	// exchange is one request and its answer.
-	exchange struct {
-		gateway       *Gateway
-		w             http.ResponseWriter
-		r             *http.Request
-		asked         acaciasite.Request
-		arrived       time.Time
-		deadline      time.Time
-		configuration *published
-		route         *acaciasite.Route
-		organisation  *acaciasite.Organisation
-		service       string
-		body          []byte
-		content       uint64
+// exchange is one request and its answer.
+type exchange struct {
+	gateway       *Gateway
+	w             http.ResponseWriter
+	r             *http.Request
+	asked         acaciasite.Request
+	arrived       time.Time
+	deadline      time.Time
+	configuration *published
+	route         *acaciasite.Route
+	organisation  *acaciasite.Organisation
+	service       string
+	body          []byte
+	content       uint64
 
-		// tried are the endpoints that must not get the request again, ran those that may
-		// have run it. runs counts the runs, refusals the answers that it did not run.
-		tried    []string
-		ran      []string
-		runs     int
-		refusals int
-		// prepaid tells that the budget for the next repeat has been taken.
-		prepaid bool
-		// at is the endpoint that has it now.
-		at *acaciasite.Endpoint
-		// began tells that the caller has the head of the answer, after which event the
-		// stream goes on.
-		began   bool
-		beganAt time.Time
-		after   string
-		// events is how many events the caller has.
-		events int
-	}
-
-	// result is how a call of an endpoint ended.
-	result int
-)
-
-const (
-	// resultAnswered: the caller has the whole answer, or the endpoint's own failure.
-	resultAnswered result = iota + 1
-	// resultNotRun: the endpoint has not run the request and never will.
-	resultNotRun
-	// resultBroken: the endpoint may have run the request, and its answer is not whole.
-	resultBroken
-	// resultGone: the caller has left, or has stopped reading.
-	resultGone
-)
+	// tried are the endpoints that must not get the request again, ran those that may
+	// have run it. runs counts the runs, refusals the answers that it did not run.
+	tried    []string
+	ran      []string
+	runs     int
+	refusals int
+	// prepaid tells that the budget for the next repeat has been taken.
+	prepaid bool
+	// at is the endpoint that has it now.
+	at *acaciasite.Endpoint
+	// began tells that the caller has the head of the answer, after which event the
+	// stream goes on.
+	began   bool
+	beganAt time.Time
+	after   string
+	// events is how many events the caller has.
+	events int
+}
 
 const (
 	// maxRuns bounds how often one request runs, at as many endpoints as its route allows.
 	maxRuns = 4
 	// maxRefusals bounds how often one request is sent on after refusals.
 	maxRefusals = 6
-	// aliveTime bounds the check whether an endpoint that broke off still listens.
-	aliveTime = 300 * time.Millisecond
 )
 
 var errCallerGone = errors.New("the caller has left")
 
 // run finds a place for the request and calls endpoints until one has answered.
 func (x *exchange) run(ctx context.Context) {
-	organisation := ""
-	if x.organisation != nil {
-		organisation = x.organisation.Name
-	}
-	x.content = contentHash(x.r.Method, x.r.RequestURI, organisation, x.body)
+	x.content = contentHash(x.r.Method, x.r.RequestURI, x.organisationName(), x.body)
 	if err := x.admit(); err != nil {
 		x.refuse(err, nil)
 		return
@@ -295,106 +270,3 @@
 	x.gateway.metrics.answered(x, acaciaroute.CodeAnswerCut)
 	panic(http.ErrAbortHandler)
 }
-
-// call sends the request to the endpoint and relays the answer.
-func (x *exchange) call(ctx context.Context, want *acaciaschedule.Request, guard *watchdog) (result, acaciaschedule.Failure, error) {
-	organisation := ""
-	if x.organisation != nil {
-		organisation = x.organisation.Name
-	}
-	after := x.asked.After
-	if x.began {
-		after = x.after
-	}
-	answer, err := x.gateway.upstream.Start(ctx, acaciaupstream.Call{
-		Address: x.at.Address,
-		Method:  x.r.Method,
-		Target:  x.r.RequestURI,
-		Host:    x.r.Host,
-		Header: acaciaplatform.ForwardHeader(x.r.Header, acaciaplatform.Forward{
-			Endpoint: x.at.ID, Organisation: organisation, Left: time.Until(x.deadline), After: after,
-		}),
-		Body:    x.body,
-		Matches: x.matches,
-	})
-	if err != nil {
-		return x.failedStart(ctx, guard, err)
-	}
-	defer answer.Close()
-	head := acaciaplatform.DecodeAnswer(answer.Header)
-	if head.NotRun {
-		failure, err := x.notRun(answer)
-		return resultNotRun, failure, err
-	}
-	x.ranHere()
-	x.gateway.loop.Post(func() { x.gateway.scheduler.First(want, x.gateway.loop.Now()) })
-	if answer.Status >= http.StatusInternalServerError && x.repeatable() && x.budget() {
-		x.prepaid = true
-		return resultBroken, acaciaschedule.FailedRequest, fmt.Errorf("the endpoint answered %d", answer.Status)
-	}
-	if x.began && answer.Status != http.StatusOK {
-		return resultBroken, acaciaschedule.FailedRequest, fmt.Errorf("the endpoint answered %d to a stream that goes on", answer.Status)
-	}
-	if answer.Status < http.StatusMultipleChoices && !head.Sealed {
-		return resultBroken, acaciaschedule.FailedBroken, errors.New("the answer carries no signature")
-	}
-	if x.route.Kind == acaciasite.KindStream && answer.Status == http.StatusOK {
-		return x.relayStream(ctx, answer, want, guard)
-	}
-	return x.relayPlain(ctx, answer, guard)
-}
-
-// matches tells whether an answer belongs to the request. Some refusals do not say.
-func (x *exchange) matches(header http.Header) bool {
-	head := acaciaplatform.DecodeAnswer(header)
-	return head.RequestID == x.asked.ID || head.RequestID == "" && head.NotRun
-}
-
-// failedStart sorts a call that brought no answer.
-func (x *exchange) failedStart(ctx context.Context, guard *watchdog, err error) (result, acaciaschedule.Failure, error) {
-	var failed *acaciaupstream.Error
-	unreached := errors.As(err, &failed) && !failed.Reached
-	if !unreached {
-		x.ranHere()
-	}
-	switch {
-	case x.r.Context().Err() != nil:
-		return resultGone, 0, err
-	case unreached:
-		return resultNotRun, acaciaschedule.FailedUnreached, err
-	}
-	if guard.fired() {
-		return resultBroken, guard.failure(), guard.reason()
-	}
-	x.suspect(ctx)
-	return resultBroken, acaciaschedule.FailedBroken, err
-}
-
-// notRun sorts a refusal of an endpoint.
-func (x *exchange) notRun(answer *acaciaupstream.Answer) (acaciaschedule.Failure, error) {
-	failure := acaciaschedule.FailedFull
-	if answer.Status == http.StatusMisdirectedRequest {
-		failure = acaciaschedule.FailedReplaced
-	}
-	if err := answer.Drain(); err != nil {
-		return failure, err
-	}
-	return failure, fmt.Errorf("the endpoint answered %d without running the request", answer.Status)
-}
-
-// suspect notes that an endpoint has died while it ran the request, if it has.
-func (x *exchange) suspect(ctx context.Context) {
-	if ctx.Err() != nil {
-		return
-	}
-	checking, cancel := context.WithTimeout(ctx, aliveTime)
-	defer cancel()
-	if x.gateway.upstream.Alive(checking, x.at.Address) {
-		return
-	}
-	event := x.event(acaciaevent.EndpointDied)
-	event.KeyHash = fmt.Sprintf("%016x", x.content)
-	x.gateway.recorder.Record(event)
-	g := x.gateway
-	g.loop.Post(func() { g.suspects.died(x.content) })
-}
--- a/acaciagateway/serve.go
+++ b/acaciagateway/serve.go
@@ -121,6 +121,14 @@
 	return float64(x.organisation.PlainCost)
 }
 
+// organisationName is empty for a request of none.
+func (x *exchange) organisationName() string {
+	if x.organisation == nil {
+		return ""
+	}
+	return x.organisation.Name
+}
+
 // rank is 0 for the most urgent.
 func (x *exchange) rank() int {
 	if x.organisation != nil && x.organisation.HasRank {
@@ -187,13 +195,10 @@
 
 // event returns an event about the request.
 func (x *exchange) event(kind acaciaevent.Kind) acaciaevent.Event {
-	event := acaciaevent.Event{Kind: kind, RequestID: x.asked.ID, Service: x.service}
+	event := acaciaevent.Event{Kind: kind, RequestID: x.asked.ID, Service: x.service, Organisation: x.organisationName()}
 	if x.route != nil {
 		event.Class, event.Rank = x.route.Name, x.rank()
 	}
-	if x.organisation != nil {
-		event.Organisation = x.organisation.Name
-	}
 	if x.at != nil {
 		event.Endpoint = x.at.ID
 	}
--- a/acaciasystem/gateway_cluster_test.go
+++ b/acaciasystem/gateway_cluster_test.go
@@ -58,6 +58,8 @@
 		// failing makes it answer 500, losing drop its answers.
 		failing bool
 		losing  bool
+		// work is how long a run takes.
+		work time.Duration
 	}
 )
 
@@ -169,7 +171,7 @@
 }
 
 func (f *fleet) addEndpoint() {
-	e := &endpointNode{fleet: f, runs: map[string]int{}}
+	e := &endpointNode{fleet: f, runs: map[string]int{}, work: workTime}
 	server := httptest.NewServer(e)
 	f.t.Cleanup(server.Close)
 	e.proxy = newProxy(f.t, server.Listener.Addr().String())
@@ -196,6 +198,13 @@
 	e.failing, e.losing = failing, losing
 }
 
+// setWork changes how long a run takes.
+func (e *endpointNode) setWork(work time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.work = work
+}
+
 // ServeHTTP implements http.Handler as an endpoint of the platform.
 func (e *endpointNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -210,10 +219,10 @@
 		return
 	}
 	e.runs[id]++
-	failing, losing := e.failing, e.losing
+	failing, losing, work := e.failing, e.losing, e.work
 	e.mu.Unlock()
 	acaciaplatformstandin.Seal(w, r, "seal")
-	time.Sleep(workTime)
+	time.Sleep(work)
 	switch {
 	case losing:
 		panic(http.ErrAbortHandler)
