Let the test of leaving endpoints see one that is still called

Cause: TestLeavingEndpointGetsNothingNew registered the leaving endpoint at another address, so that nothing reached the old one whatever the gateway did: with the check for leaving endpoints taken out, no test of acaciaschedule or acaciagateway failed.

Change: the endpoint leaves at the address that it had.

--- a/acaciagateway/bed_test.go
+++ b/acaciagateway/bed_test.go
@@ -31,6 +31,8 @@
 		store   *acaciaplatformstandin.Store
 		gateway *Gateway
 		url     string
+		// addresses are those of the endpoints.
+		addresses []string
 	}
 
 	reply struct {
@@ -48,12 +50,14 @@
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
 	store.PutConfiguration(acaciaplatformstandin.Configuration(1, 3000, 0))
+	b := &bed{t: t, store: store}
 	for i, handler := range endpoints {
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
-		register(t, store, fmt.Sprintf("i-%d", i+1), server.Listener.Addr().String(), false)
+		address := server.Listener.Addr().String()
+		b.addresses = append(b.addresses, address)
+		register(t, store, fmt.Sprintf("i-%d", i+1), address, false)
 	}
-	b := &bed{t: t, store: store}
 	b.gateway, b.url = startGateway(t, storeServer.URL, "g-1", nil)
 	return b
 }
--- a/acaciagateway/gateway_test.go
+++ b/acaciagateway/gateway_test.go
@@ -26,7 +26,7 @@
 	}))
 	t.Cleanup(other.Close)
 	assert.Equal(t, b.send(http.MethodGet, "/safe/", "r-0", "").status, http.StatusOK)
-	register(t, b.store, testEndpoint, "127.0.0.1:1", true)
+	register(t, b.store, testEndpoint, b.addresses[0], true)
 	register(t, b.store, "i-2", other.Listener.Addr().String(), false)
 	waitFor(t, func() bool {
 		return b.send(http.MethodGet, "/safe/", "r-1", "").status == http.StatusOK && fresh.Load() > 0
