Test that older configurations and less urgent requests of other gateways do not go first

Cause: with the check for older versions taken out of Gateway.apply, and with the rank taken out of the order over all processes, no test failed.

Change: a test for each, seen failing with the mechanism taken out (version 2 in force in place of 3; the less urgent request placed).

--- a/acaciagateway/gateway_test.go
+++ b/acaciagateway/gateway_test.go
@@ -38,6 +38,17 @@
 	assert.Equal(t, old.Load(), before)
 }
 
+// An older configuration that comes late, from the store or a peer, changes nothing.
+func TestOlderConfigurationIsNotTaken(t *testing.T) {
+	b := newBed(t, func(w http.ResponseWriter, r *http.Request) { answer(w, r, "") })
+	b.store.PutConfiguration(acaciaplatformstandin.Configuration(3, 3000, 0))
+	waitFor(t, func() bool { return b.gateway.configuration.Load().Version == 3 })
+	older, err := acaciaplatform.DecodeConfiguration(acaciaplatformstandin.Configuration(2, 1000, 1))
+	assert.NilError(t, err)
+	b.gateway.apply(&published{Configuration: older}, "peer")
+	assert.Equal(t, b.gateway.configuration.Load().Version, int64(3))
+}
+
 // A gateway whose store turns it away gets the configuration from another one.
 func TestConfigurationComesFromPeersWhileTheStoreIsAway(t *testing.T) {
 	b := newBed(t, func(w http.ResponseWriter, r *http.Request) { answer(w, r, "") })
--- a/acaciaschedule/scheduler_test.go
+++ b/acaciaschedule/scheduler_test.go
@@ -123,6 +123,22 @@
 	assert.Check(t, total >= rounds*3/2, "%d", total)
 }
 
+// Two processes see the same place free: an urgent request that came later at one goes
+// before a less urgent one that waits at the other.
+func TestFreePlaceGoesToTheMostUrgentOverAllProcesses(t *testing.T) {
+	older, newer := newScheduler(), newScheduler()
+	for _, s := range []*Scheduler{older, newer} {
+		list(s, "e", "a", 1)
+	}
+	older.Add(request("low", 2, at(0)))
+	newer.Add(request("high", 0, at(100)))
+	fromOlder, fromNewer := older.Tell(at(110)), newer.Tell(at(110))
+	older.Hear("newer", &fromNewer, at(110))
+	newer.Hear("older", &fromOlder, at(110))
+	assert.Equal(t, len(placed(older, at(120))), 0)
+	assert.DeepEqual(t, placed(newer, at(120)), map[string]string{"high": "e"})
+}
+
 // A crest of several times the capacity: what would wait too long is told to come back,
 // the least urgent first, and the most urgent is not turned away before it.
 func TestCrestTurnsTheLeastUrgentAway(t *testing.T) {
