--- a/acaciagateway/request_test.go
+++ b/acaciagateway/request_test.go
@@ -167,6 +167,17 @@
 	assert.Check(t, reached.Load() < requests)
 }
 
+// A success that does not bear its endpoint's signature is not passed on as one.
+func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
+	b := newBed(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(acaciaplatformstandin.HeaderRequestID, r.Header.Get(acaciaplatformstandin.HeaderRequestID))
+		_, _ = io.WriteString(w, "whose?")
+	})
+	r := b.send(http.MethodPost, "/unsafe/", "r-1", "")
+	assert.Equal(t, r.status, http.StatusBadGateway)
+	assert.Check(t, !strings.Contains(r.body, "whose?"))
+}
+
 // Bytes behind a body in chunks are not a request.
 func TestBytesBehindAChunkedBodyAreNoRequest(t *testing.T) {
 	var ran atomic.Int64
