Make the verdict of the test of returned charges the same every time

Ruled out: charges refused because the bucket was still empty (a rate 1,000 times higher fails as often).

Change: only the callers leave whose requests wait; the others hold their places. The charges left must be exactly those of the requests at the endpoint.

--- a/acaciagateway/request_test.go
+++ b/acaciagateway/request_test.go
@@ -121,19 +121,42 @@
 	assert.Check(t, last.header.Get("Retry-After") != "")
 }
 
-// An organisation is not charged for requests whose callers leave while they wait.
+// An organisation is not charged for requests whose callers leave while they wait; those
+// that an endpoint has stay charged.
 func TestQuotaIsGivenBackForACallerThatLeavesWhileItWaits(t *testing.T) {
 	const requests = 8
-	var reached atomic.Int64
-	b := newBed(t, func(_ http.ResponseWriter, r *http.Request) {
-		reached.Add(1)
-		<-r.Context().Done()
-	})
-	b.store.PutConfiguration(acaciaplatformstandin.Configuration(2, 60_000, 1_000_000))
+	b := newBed(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	b.store.PutConfiguration(acaciaplatformstandin.Configuration(2, 60_000, 1_000_000_000))
 	waitFor(t, func() bool { return b.gateway.configuration.Load().Version == 2 })
-	ctx, cancel := context.WithCancel(context.Background())
+	used := func() (n int) {
+		b.gateway.loop.Do(func() {
+			for _, cost := range b.gateway.quota.Used() {
+				n += int(cost)
+			}
+		})
+		return n
+	}
+	// present counts the requests that an endpoint has and those that wait.
+	present := func() (running, waiting int) {
+		b.gateway.loop.Do(func() {
+			told := b.gateway.scheduler.Tell(time.Now())
+			for _, count := range told.Running {
+				running += count
+			}
+			for _, ranks := range told.Waiting {
+				for _, count := range ranks {
+					waiting += count
+				}
+			}
+		})
+		return running, waiting
+	}
 	ended := make(chan struct{}, requests)
+	var leave []context.CancelFunc
 	for i := range requests {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		leave = append(leave, cancel)
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, b.url+"/safe/", nil)
 		assert.NilError(t, err)
 		acaciaplatformstandin.Ask(request, fmt.Sprintf("r-%d", i))
@@ -141,30 +164,22 @@
 			do(request)
 			ended <- struct{}{}
 		}()
-	}
-	used := func() (n float64) {
-		b.gateway.loop.Do(func() {
-			for _, cost := range b.gateway.quota.Used() {
-				n += cost
-			}
+		waitFor(t, func() bool {
+			running, waiting := present()
+			return running+waiting == i+1
 		})
-		return n
 	}
-	running := func() (n int64) {
-		b.gateway.loop.Do(func() {
-			for _, count := range b.gateway.scheduler.Tell(time.Now()).Running {
-				n += int64(count)
-			}
-		})
-		return n
+	assert.Equal(t, used(), requests)
+	atEndpoint, _ := present()
+	assert.Assert(t, atEndpoint > 0 && atEndpoint < requests)
+	// Requests are placed in the order in which they came.
+	for _, cancel := range leave[atEndpoint:] {
+		cancel()
 	}
-	waitFor(t, func() bool { return used() == requests && running() > 0 && reached.Load() == running() })
-	cancel()
-	for range requests {
+	for range requests - atEndpoint {
 		<-ended
 	}
-	waitFor(t, func() bool { return used() == float64(reached.Load()) })
-	assert.Check(t, reached.Load() < requests)
+	waitFor(t, func() bool { return used() == atEndpoint })
 }
 
 // A success that does not bear its endpoint's signature is not passed on as one.
