--- a/acaciagateway/repeat_test.go
+++ b/acaciagateway/repeat_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -133,3 +134,28 @@
 	assert.Check(t, strings.Contains(r.body, "poison_content"), r.body)
 	assert.Equal(t, deaths.Load(), int64(maxDeaths+1))
 }
+
+// An address that another endpoint has taken over is spared: each request sent there costs
+// a repeat (hunts play servers that are replaced at their addresses).
+func TestAddressOfAnotherEndpointIsSpared(t *testing.T) {
+	const requests = 10
+	var misdirected atomic.Int64
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) {
+		misdirected.Add(1)
+		acaciaplatformstandin.RefuseUnrun(w, http.StatusMisdirectedRequest)
+	})
+	assert.Equal(t, b.send(http.MethodGet, "/safe/", "r-0", "").status, http.StatusServiceUnavailable)
+	assert.Equal(t, misdirected.Load(), int64(1))
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Longer in all than a full endpoint is spared.
+		time.Sleep(20 * time.Millisecond)
+		answer(w, r, "")
+	}))
+	t.Cleanup(other.Close)
+	register(t, b.store, "i-2", other.Listener.Addr().String(), false)
+	waitFor(t, func() bool { return b.send(http.MethodGet, "/safe/", "r-1", "").status == http.StatusOK })
+	for i := range requests {
+		assert.Equal(t, b.send(http.MethodGet, "/safe/", fmt.Sprintf("s-%d", i), "").status, http.StatusOK)
+	}
+	assert.Equal(t, misdirected.Load(), int64(1))
+}
