Read a long list of the store page by page, and only the failed page again

Ruled out: the store's rate itself (61 pages for 305 gateways are 18,605 calls, 3.1 s at its 6,000 a second).

Change: Store.Newest reads one page; the follower keeps those it has and asks for the failed one again after a random pause. Changes go on from the end that the first page told, so that what changed meanwhile is replayed.

--- a/acaciagateway/list_test.go
+++ b/acaciagateway/list_test.go
@@ -1,10 +1,14 @@
 package acaciagateway
 
 import (
+	"fmt"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -48,3 +52,20 @@
 	assert.Check(t, l.grace(after(1600)).IsZero())
 	assert.Equal(t, l.readable(after(2000)), 500*time.Millisecond)
 }
+
+// Every second call is turned away, and the list has many pages: a gateway that began anew
+// after each failure would never have the whole list (300 gateways that were killed at once
+// did not serve again within 30 s before a list of 3,004 endpoints).
+func TestLongListIsReadThoughTheStoreTurnsCallsAway(t *testing.T) {
+	const endpoints = 30
+	store := acaciaplatformstandin.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	store.PutConfiguration(acaciaplatformstandin.Configuration(1, 3000, 0))
+	for i := range endpoints {
+		register(t, store, fmt.Sprintf("i-%02d", i), anyPort, false)
+	}
+	store.SetBusy(true)
+	gateway, _ := startGateway(t, server.URL, "g-1", nil)
+	gateway.loop.Do(func() { assert.Equal(t, len(gateway.endpoints.listed), endpoints) })
+}
--- a/acaciagateway/watch.go
+++ b/acaciagateway/watch.go
@@ -53,7 +53,7 @@
 
 // follow reads the newest records and then changes until a call fails for good.
 func (f *follower) follow(ctx context.Context) error {
-	changes, next, err := f.gateway.store.Newest(ctx, f.topic)
+	changes, next, err := f.newest(ctx)
 	if err != nil {
 		return err
 	}
@@ -78,6 +78,32 @@
 	return nil
 }
 
+// newest reads the newest records, page by page; a page that fails is asked for again.
+//
+// Load pattern: hundreds of processes start at once and the store turns most calls away.
+// One that began anew after each failure would hardly ever come to the last page.
+func (f *follower) newest(ctx context.Context) ([]acaciaplatform.Change, acaciaroute.Offset, error) {
+	var changes []acaciaplatform.Change
+	var end acaciaroute.Offset
+	for after := ""; ctx.Err() == nil; {
+		page, err := f.gateway.store.Newest(ctx, f.topic, after)
+		if err != nil {
+			f.note(err)
+			sleep(ctx, rand.N(2*retryPause))
+			continue
+		}
+		changes = append(changes, page.Changes...)
+		if after == "" {
+			end = page.End
+		}
+		if !page.More {
+			return changes, end, nil
+		}
+		after = page.Last
+	}
+	return nil, 0, ctx.Err()
+}
+
 func (f *follower) note(err error) {
 	if errors.Is(err, context.Canceled) {
 		return
