Count how many ranks are more urgent, whatever the numbers of ranks

Cause: read again, the quota's rule took a route's rank as the number of classes above it. With priorities 10, 20 and 30 the most urgent class would have left 0.45 of its bucket to nobody; and with ranks of 8 and more the ranks of organisations overlapped, so that a bulk class of the first organisation came after an urgent one of the second.

Ruled out on the sites known: their routes have the ranks 0, 1 and 2.

Change: a configuration counts for each route how many ranks are more urgent; quotas and the order over all gateways use that, with 64 ranks for each of an organisation's in place of 8.

--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -105,7 +105,7 @@
 			return
 		}
 		charge := acaciabudget.Charge{
-			Organisation: x.organisation.Name, Cost: x.cost(), Rank: x.route.Rank, Spare: g.scheduler.HasSpare(x.service, now),
+			Organisation: x.organisation.Name, Cost: x.cost(), Rank: x.route.Above, Spare: g.scheduler.HasSpare(x.service, now),
 		}
 		if ok, wait := g.quota.Take(charge, now); !ok {
 			refusal = &acaciaroute.Error{Code: acaciaroute.CodeQuota, Detail: "the organisation's quota is used up", RetryAfter: wait}
--- a/acaciagateway/serve.go
+++ b/acaciagateway/serve.go
@@ -132,13 +132,13 @@
 // rank is 0 for the most urgent.
 func (x *exchange) rank() int {
 	if x.organisation != nil && x.organisation.HasRank {
-		return x.organisation.Rank*ranksOfRoutes + x.route.Rank
+		return x.organisation.Rank*ranksOfRoutes + x.route.Above
 	}
-	return x.route.Rank
+	return x.route.Above
 }
 
 // ranksOfRoutes is how many ranks routes may have, below those of organisations.
-const ranksOfRoutes = 8
+const ranksOfRoutes = 64
 
 // want returns the request for the scheduler.
 func (x *exchange) want() *acaciaschedule.Request {
--- a/acaciasite/configuration.go
+++ b/acaciasite/configuration.go
@@ -1,6 +1,7 @@
 package acaciasite
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -35,8 +36,10 @@
 		Objective time.Duration
 		// MaxGap is the longest pause between two events of a stream.
 		MaxGap time.Duration
-		// Rank orders classes; 0 is the most urgent.
+		// Rank orders classes; the lower is the more urgent. Ranks may have gaps.
 		Rank int
+		// Above is how many ranks are more urgent.
+		Above int
 		// MaxEndpoints is on how many endpoints one request may run.
 		MaxEndpoints int
 		// Public routes need no key.
@@ -101,6 +104,7 @@
 		route := &c.Routes[i]
 		c.routesByHost[route.Host] = append(c.routesByHost[route.Host], route)
 	}
+	c.countAbove()
 	c.keys = map[string]*Organisation{}
 	for i := range c.Organisations {
 		for _, key := range c.Organisations[i].Keys {
@@ -113,6 +117,19 @@
 	}
 }
 
+// countAbove sets the routes' Above.
+func (c *Configuration) countAbove() {
+	var ranks []int
+	for i := range c.Routes {
+		ranks = append(ranks, c.Routes[i].Rank)
+	}
+	slices.Sort(ranks)
+	ranks = slices.Compact(ranks)
+	for i := range c.Routes {
+		c.Routes[i].Above, _ = slices.BinarySearch(ranks, c.Routes[i].Rank)
+	}
+}
+
 // Route returns the route with the longest prefix of a path, nil if there is none.
 func (c *Configuration) Route(host, path string) *Route {
 	var best *Route
