Read streams of the log in one place

Change: acaciastream.Reader does it for both (the lease of acaciaorder and the keeper of acaciaconfiguration do something else after a gap and keep theirs). Reports of suspects are now read to the end of the stream each second, not one page.

--- a/acaciakey/registry.go
+++ b/acaciakey/registry.go
@@ -12,6 +12,7 @@
 	"github.com/acaciaroute/acaciaroute"
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acacialoop"
+	"github.com/acaciaroute/acaciaroute/acaciastream"
 )
 
 type (
@@ -19,6 +20,7 @@
 	// close together share one append.
 	Registry struct {
 		log      acaciaroute.Log
+		stream   *acaciastream.Reader
 		recorder *acaciaevent.Recorder
 		claims   *acaciaevent.Dependency
 		pending  chan *pendingClaim
@@ -27,8 +29,6 @@
 		mu         sync.Mutex
 		index      index
 		outage     outage
-		next       acaciaroute.Offset
-		positioned bool
 		appends    int64
 		lastAppend time.Time
 		awaited    string
@@ -57,8 +57,7 @@
 	// followInterval is how often the stream is read without a claim.
 	followInterval = time.Second
 
-	maxBatch  = 500
-	readLimit = 200
+	maxBatch = 500
 	// undecidedRetry is when a caller whose claim was not decided comes back.
 	undecidedRetry = 2 * time.Second
 )
@@ -67,6 +66,7 @@
 func New(log acaciaroute.Log, recorder *acaciaevent.Recorder) *Registry {
 	return &Registry{
 		log:      log,
+		stream:   acaciastream.New(log, acaciaroute.StreamKeys),
 		recorder: recorder,
 		claims:   acaciaevent.NewDependency(recorder, "claims of keys"),
 		pending:  make(chan *pendingClaim, maxBatch),
@@ -262,28 +262,7 @@
 func (r *Registry) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if !r.positioned {
-		oldest, _, err := r.log.Head(ctx, acaciaroute.StreamKeys)
-		if err != nil {
-			return err
-		}
-		r.next = oldest
-		r.positioned = true
-	}
-	for {
-		records, err := r.log.Read(ctx, acaciaroute.StreamKeys, r.next, readLimit)
-		if err != nil {
-			var coded *acaciaroute.Error
-			if errors.As(err, &coded) && coded.Code == acaciaroute.CodeLogTrimmed {
-				r.positioned = false
-			}
-			return err
-		}
-		r.applyAll(records)
-		if len(records) < readLimit {
-			return nil
-		}
-	}
+	return r.stream.Read(ctx, r.applyAll)
 }
 
 func (r *Registry) applyAll(records []acaciaroute.Record) {
@@ -292,7 +271,6 @@
 	for _, record := range records {
 		id := r.index.apply(record)
 		r.appeared = r.appeared || id == r.awaited
-		r.next = record.Offset + 1
 	}
 }
 
--- a/acaciapoison/registry.go
+++ b/acaciapoison/registry.go
@@ -10,6 +10,7 @@
 	"github.com/acaciaroute/acaciaroute"
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acacialoop"
+	"github.com/acaciaroute/acaciaroute/acaciastream"
 )
 
 type (
@@ -17,6 +18,7 @@
 	// does not take is kept and tried again, and counts here at once.
 	Registry struct {
 		log     acaciaroute.Log
+		stream  *acaciastream.Reader
 		reports *acaciaevent.Dependency
 		added   chan struct{}
 		worker  *acacialoop.Worker
@@ -24,15 +26,12 @@
 		mu       sync.Mutex
 		register *register
 		unsent   []Report
-		next     acaciaroute.Offset
-		placed   bool
 	}
 )
 
 const (
 	followInterval = time.Second
 	callTimeout    = time.Second
-	readLimit      = 200
 	maxUnsent      = 100
 )
 
@@ -40,6 +39,7 @@
 func New(log acaciaroute.Log, recorder *acaciaevent.Recorder) *Registry {
 	return &Registry{
 		log:      log,
+		stream:   acaciastream.New(log, acaciaroute.StreamSuspects),
 		reports:  acaciaevent.NewDependency(recorder, "reports of suspects"),
 		added:    make(chan struct{}, 1),
 		worker:   acacialoop.NewWorker(),
@@ -131,28 +131,14 @@
 func (r *Registry) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if !r.placed {
-		oldest, _, err := r.log.Head(ctx, acaciaroute.StreamSuspects)
-		if err != nil {
-			return err
-		}
-		r.next = oldest
-		r.placed = true
-	}
-	records, err := r.log.Read(ctx, acaciaroute.StreamSuspects, r.next, readLimit)
-	if err != nil {
-		var coded *acaciaroute.Error
-		if errors.As(err, &coded) && coded.Code == acaciaroute.CodeLogTrimmed {
-			r.placed = false
-		}
-		return err
-	}
+	return r.stream.Read(ctx, r.applyAll)
+}
+
+func (r *Registry) applyAll(records []acaciaroute.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, record := range records {
 		r.register.apply(record)
-		r.next = record.Offset + 1
 	}
 	r.register.forget(time.Now())
-	return nil
 }
