Let a draining gateway serve what is sure to end in time

Ruled out: slow starts (a gateway is ready within two calls of the store); the balancer (it sends to gateways that are not ready when there is no other).

Change: while requests from before the drain are in hand, a gateway goes on taking requests. It serves those whose deadline lies before its end, and refuses the rest as not run, to come back in 0.3 s. All are taken for 2.9 s after the signal (2.3 before): the balancer may need that long.

TestDrainingGatewayServesWhatEndsInTime.

--- /dev/null
+++ b/acaciagateway/drain_test.go
@@ -0,0 +1,49 @@
+package acaciagateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
+)
+
+// A gateway that is stopped has a request for long. Until that ends it serves what is sure
+// to end in time, and refuses the rest with a time to come back: all others may be stopping,
+// too (dala-shred, all gateways stopped 1.3 s apart: 288 tries found no connection).
+func TestDrainingGatewayServesWhatEndsInTime(t *testing.T) {
+	const stopTime = 60 * time.Second
+	release, reached := make(chan struct{}), make(chan struct{})
+	b := newBed(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/safe/long") {
+			close(reached)
+			<-release
+		}
+		answer(w, r, "")
+	})
+	b.store.PutConfiguration(acaciaplatformstandin.Configuration(2, int(2*stopTime/time.Millisecond), 0))
+	waitFor(t, func() bool { return b.gateway.configuration.Load().Version == 2 })
+	long := make(chan reply, 1)
+	go func() { long <- b.send(http.MethodGet, "/safe/long", "r-1", "") }()
+	<-reached
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() { closed <- b.gateway.Close(ctx) }()
+	waitFor(t, func() bool {
+		b.gateway.inHand.mu.Lock()
+		defer b.gateway.inHand.mu.Unlock()
+		return b.gateway.inHand.draining
+	})
+	assert.Equal(t, b.send(http.MethodPost, "/unsafe/short", "r-2", "").status, http.StatusOK)
+	refused := b.send(http.MethodGet, "/safe/", "r-3", "")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	assert.Check(t, refused.header.Get("Retry-After") != "")
+	close(release)
+	assert.Equal(t, (<-long).status, http.StatusOK)
+	assert.NilError(t, <-closed)
+}
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -32,6 +32,7 @@
 		configuration atomic.Pointer[published]
 		listed        atomic.Bool
 		stopping      atomic.Bool
+		inHand        *inHand
 
 		// loop owns the fields below.
 		loop      *acacialoop.Process
@@ -69,9 +70,9 @@
 	tickTime = 20 * time.Millisecond
 	// prefetch is how many requests an endpoint gets beyond its places.
 	prefetch = 1
-	// noticeTime is how long a stopping gateway goes on taking connections, so that the
+	// noticeTime is how long a stopping gateway goes on taking all requests, so that the
 	// balancer has seen that it is not ready.
-	noticeTime = 2300 * time.Millisecond
+	noticeTime = 2900 * time.Millisecond
 	// headerTime and idleTime bound callers where the configuration has not been read.
 	headerTime = 10 * time.Second
 	idleTime   = 5 * time.Minute
@@ -101,6 +102,7 @@
 		members:   acaciapeer.NewMembers(settings.Name, settings.Region),
 		suspects:  newSuspects(),
 		endpoints: newEndpointList(),
+		inHand:    newInHand(),
 		waiters:   map[*acaciaschedule.Request]chan acaciaschedule.Decision{},
 		started:   time.Now().UnixNano(),
 		peers:     &http.Client{Transport: &http.Transport{}},
@@ -150,6 +152,10 @@
 	case <-time.After(noticeTime):
 	case <-ctx.Done():
 	}
+	select {
+	case <-g.inHand.drain(end(ctx)):
+	case <-ctx.Done():
+	}
 	callers, rest := g.servers[0], g.servers[1:]
 	err := callers.Shutdown(ctx)
 	g.leave()
--- a/acaciagateway/serve.go
+++ b/acaciagateway/serve.go
@@ -40,6 +40,12 @@
 		x.refuse(err, nil)
 		return
 	}
+	done, err := g.inHand.begin(x.deadline)
+	if err != nil {
+		x.refuse(err, nil)
+		return
+	}
+	defer done()
 	if err := x.readBody(); err != nil {
 		x.refuse(err, nil)
 		return
--- a/acaciasystem/gateway_stop_test.go
+++ b/acaciasystem/gateway_stop_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// stoppedWork is longer than a gateway goes on taking requests after the signal.
-const stoppedWork = 2600 * time.Millisecond
+// stoppedWork is longer than a gateway goes on taking all requests after the signal.
+const stoppedWork = 3100 * time.Millisecond
 
 // A planned stop ends when the last request in hand is answered.
 func TestGatewayAnswersWhatItHasWhenItIsStopped(t *testing.T) {
