Bound the notice of a stop by half of the time that the process has

On deployments with a short time to stop, 2.9 s of notice would have left nothing for draining; where it is 8 s, as on those known, nothing changes.

--- a/acaciagateway/drain.go
+++ b/acaciagateway/drain.go
@@ -65,7 +65,8 @@
 	return h.drained
 }
 
-func end(ctx context.Context) time.Time {
+// endOf returns when a context ends.
+func endOf(ctx context.Context) time.Time {
 	if deadline, ok := ctx.Deadline(); ok {
 		return deadline
 	}
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -144,16 +144,18 @@
 	return g.ended
 }
 
-// Close stops taking requests, waits for those that run until ctx ends, and ends.
+// Close goes on taking requests for a while, then those that are sure to end before ctx
+// does, and ends when it has answered them or ctx ends.
 func (g *Gateway) Close(ctx context.Context) error {
 	g.stopping.Store(true)
 	g.recorder.Record(acaciaevent.Event{Kind: acaciaevent.ProcessStopping})
+	end := endOf(ctx)
 	select {
-	case <-time.After(noticeTime):
+	case <-time.After(min(noticeTime, time.Until(end)/2)):
 	case <-ctx.Done():
 	}
 	select {
-	case <-g.inHand.drain(end(ctx)):
+	case <-g.inHand.drain(end):
 	case <-ctx.Done():
 	}
 	callers, rest := g.servers[0], g.servers[1:]
