acaciaagent: refuse a request whose process was suspended after its grant

Cause: known red TestLeavingEndpointWithSuspendedAgentGetsNoNewRequests. A grant is checked when it is used; the goroutine that then calls the endpoint may run much later, after the process was suspended or was given no processor. By then the VM may have left. Change: the execution remembers when its grant was used and refuses the request, as not run, if more than a grant's lifetime has passed when it is about to call.

--- a/acaciaagent/execution.go
+++ b/acaciaagent/execution.go
@@ -9,6 +9,7 @@
 
 	"github.com/acaciaroute/acaciaroute"
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	"github.com/acaciaroute/acaciaroute/acaciagrant"
 	"github.com/acaciaroute/acaciaroute/acaciakey"
 	"github.com/acaciaroute/acaciaroute/acaciaprocess"
 	"github.com/acaciaroute/acaciaroute/acaciarun"
@@ -28,6 +29,8 @@
 		// ended reports whether this copy tells superviseExecutions of the execution's end
 		// rather than of its start.
 		ended bool
+		// grantUsedAt is when the grant was used.
+		grantUsedAt time.Time
 		// started is when the endpoint was called.
 		started time.Time
 	}
@@ -53,6 +56,7 @@
 	a.process.Loop.Do(func() {
 		e.reservation, granted = a.granter.StartRun(e.run.RequestID, e.run.Grant)
 		if granted {
+			e.grantUsedAt = time.Now()
 			a.executions[e.run.RequestID] = e
 		}
 	})
@@ -96,10 +100,17 @@
 	}
 }
 
-// execute calls the endpoint once and stores its answer.
+// execute calls the endpoint once and stores its answer. If the process was suspended after
+// the grant was used, what the grant was based on may no longer hold, and the request is
+// refused instead.
 func (e *execution) execute(ctx context.Context) {
 	defer e.reportChange(true)
 	a := e.agent
+	if time.Since(e.grantUsedAt) >= acaciagrant.DefaultGrantLifetime {
+		e.notifyGranterOfEnd()
+		e.finish(acaciaroute.CodeRefused, "the agent was delayed for longer than a grant is valid")
+		return
+	}
 	a.requestCounts.Add(e.reservation.Class, e.reservation.Organisation, acaciaprocess.CountRunning, 1)
 	e.started = time.Now()
 	e.record(acaciaevent.RequestDispatched, acaciaroute.CodeOK, "")
@@ -114,11 +125,17 @@
 	a.requestCounts.Add(e.reservation.Class, e.reservation.Organisation, acaciaprocess.CountDone, 1)
 	a.metrics.runTime.WithLabelValues(e.reservation.Class).Observe(time.Since(e.started).Seconds())
 	e.notifyGranterOfEnd()
+	e.finish(code, detail)
+}
+
+// finish completes the run's answer with the result of the execution.
+func (e *execution) finish(code acaciaroute.Code, detail string) {
+	runStore := e.agent.runStore
 	if code == acaciaroute.CodeRefused {
-		a.runStore.RejectUnstarted(e.run)
+		runStore.RejectUnstarted(e.run)
 	}
 	e.run.Answer.Finish(code, detail)
-	a.runStore.MarkFinished(e.run)
+	runStore.MarkFinished(e.run)
 	e.record(acaciaevent.AnswerFinished, code, detail)
 }
 
