acaciaschedule: place by cached prompts, prefill backlog and the risk of pauses

Placement did not know about pauses, about the prompts that an engine still had to prefill, or about the parts it had in its cache.

The expected first byte uses the tokens that remain, behind those that the endpoint has to prefill for other requests of any gateway.

--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -48,6 +48,10 @@
 	lastEventID  string
 	// eventCount is the number of stream events that the caller has received.
 	eventCount int
+	// lastEventAt is when the last event arrived, longPauses how many pauses between events
+	// were longer than the route allows.
+	lastEventAt time.Time
+	longPauses  int
 }
 
 const (
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -23,8 +23,8 @@
 	maxResponseBytes  = 32 << 20
 	streamBufferBytes = 16 << 10
 	maxEventBytes     = 1 << 20
-	// minEventsForInterval is the least number of events of a stream for which the mean time
-	// between them is reported to the scheduler.
+	// minEventsForInterval is the least number of events of a stream that is reported to the
+	// scheduler.
 	minEventsForInterval = 4
 )
 
@@ -76,6 +76,7 @@
 		complete, rest, eventErr := x.splitEvents(pending)
 		if len(complete) > 0 {
 			wd.resetSilenceTimer(max(minEventSilenceTimeout, gapFactor*x.route.MaxGap))
+			x.observePause()
 			x.sendStreamHeader(response)
 			if _, err := x.w.Write(complete); err != nil {
 				return outcomeCallerGone, 0, err
@@ -91,7 +92,7 @@
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			x.sendStreamHeader(response)
 			x.recordDelivered(response.Status)
-			x.reportEventInterval(schedRequest)
+			x.reportStream(schedRequest)
 			return outcomeDelivered, 0, nil
 		case errors.Is(err, io.EOF):
 			err = io.ErrUnexpectedEOF
@@ -129,14 +130,27 @@
 	x.gateway.metrics.observeFirstEvent(x, time.Since(x.arrivedAt))
 }
 
-// reportEventInterval reports the mean time between the events of a stream to the scheduler,
-// unless the request ran more than once or the stream has too few events.
-func (x *exchange) reportEventInterval(schedRequest *acaciaschedule.Request) {
+// reportStream reports a complete stream to the scheduler, unless the request ran more than once
+// or the stream has too few events.
+func (x *exchange) reportStream(schedRequest *acaciaschedule.Request) {
 	if x.eventCount < minEventsForInterval || x.runs > 1 {
 		return
 	}
-	g, interval := x.gateway, time.Since(x.headerSentAt)/time.Duration(x.eventCount-1)
-	g.loop.Post(func() { g.scheduler.RecordEventInterval(schedRequest, interval) })
+	observation := acaciaschedule.StreamObservation{
+		Events: x.eventCount, LongPauses: x.longPauses, Interval: time.Since(x.headerSentAt) / time.Duration(x.eventCount-1),
+	}
+	g := x.gateway
+	g.loop.Post(func() { g.scheduler.RecordStream(schedRequest, observation) })
+}
+
+// observePause counts the pause before an event that has just arrived, if it is longer than the
+// route allows.
+func (x *exchange) observePause() {
+	now := time.Now()
+	if !x.lastEventAt.IsZero() && x.route.MaxGap > 0 && now.Sub(x.lastEventAt) > x.route.MaxGap {
+		x.longPauses++
+	}
+	x.lastEventAt = now
 }
 
 // splitEvents returns the complete events at the start of data, and the rest. An event whose ID
--- a/acaciagateway/serve.go
+++ b/acaciagateway/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/acaciaroute/acaciaroute"
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
 	"github.com/acaciaroute/acaciaroute/acaciaschedule"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 )
@@ -158,6 +159,8 @@
 		Cost:              x.cost(),
 		Rank:              x.rank(),
 		PromptTokens:      x.metadata.PromptTokens,
+		OutputTokens:      x.metadata.OutputTokens,
+		Prompt:            x.promptSegments(),
 		Arrived:           x.arrivedAt,
 		Objective:         x.arrivedAt.Add(x.route.FirstByteTarget),
 		Deadline:          x.deadline,
@@ -170,11 +173,20 @@
 		schedRequest.AllowedEndpoints = x.usedEndpoints
 	}
 	if x.headerSent {
-		schedRequest.Rank, schedRequest.Objective = resumedStreamRank, time.Now()
+		schedRequest.Started, schedRequest.Rank, schedRequest.Objective = true, resumedStreamRank, time.Now()
 	}
 	return schedRequest
 }
 
+// promptSegments converts the segments of the prompt to the type of the prefix cache.
+func (x *exchange) promptSegments() []acaciaprefix.Segment {
+	ids, tokens := make([]uint64, len(x.metadata.PromptSegments)), make([]int, len(x.metadata.PromptSegments))
+	for i, segment := range x.metadata.PromptSegments {
+		ids[i], tokens[i] = segment.ID, segment.Tokens
+	}
+	return acaciaprefix.ChainSegments(x.metadata.Model, ids, tokens)
+}
+
 // writeError answers the caller with an error of the gateway and records the reason.
 func (x *exchange) writeError(err error, decision *acaciaschedule.Decision) {
 	codedErr := &acaciaroute.Error{Code: acaciaroute.CodeOutcomeUnknown, Detail: err.Error()}
--- a/acaciagrant/granter.go
+++ b/acaciagrant/granter.go
@@ -163,7 +163,7 @@
 	}
 	g.dropReservation(reservation.RequestID)
 	item := g.queue.Add(reservation, g.loop.Now())
-	w := &waiter{item: item, notify: notify, cachedTokens: g.cache.Cached(reservation.Prefixes)}
+	w := &waiter{item: item, notify: notify, cachedTokens: g.cache.Cached(acaciaprefix.BlockSegments(reservation.Prefixes))}
 	g.waiters[reservation.RequestID] = w
 	g.grantWhileRoom()
 	if g.waiters[reservation.RequestID] == w {
--- a/acaciagrant/room.go
+++ b/acaciagrant/room.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
 	"github.com/acaciaroute/acaciaroute/acaciaqueue"
 )
 
@@ -50,7 +51,7 @@
 	if item.Exclusive {
 		return -1
 	}
-	return float64(g.cache.Cached(item.Prefixes)) / float64(max(1, item.PromptTokens))
+	return float64(g.cache.Cached(acaciaprefix.BlockSegments(item.Prefixes))) / float64(max(1, item.PromptTokens))
 }
 
 // missesDeadline reports whether the first token of item would miss its deadline even if
@@ -71,7 +72,7 @@
 // prefillTimeLeft returns the expected time until the engine finishes the prefill of
 // item, including the prompts granted before it.
 func (g *Granter) prefillTimeLeft(item *acaciaqueue.Item) time.Duration {
-	uncached := max(0, item.PromptTokens-g.cache.Cached(item.Prefixes))
+	uncached := max(0, item.PromptTokens-g.cache.Cached(acaciaprefix.BlockSegments(item.Prefixes)))
 	return g.backlogTimeLeft() + g.estimator.PrefillTime(uncached)
 }
 
@@ -156,7 +157,7 @@
 	delete(g.waiters, id)
 	g.departures.recordDeparture(g.loop.Now())
 	g.lastGrant++
-	h := &heldGrant{waiter: w, item: item, notify: w.notify, grant: g.lastGrant, cachedTokens: g.cache.Cached(item.Prefixes)}
+	h := &heldGrant{waiter: w, item: item, notify: w.notify, grant: g.lastGrant, cachedTokens: g.cache.Cached(acaciaprefix.BlockSegments(item.Prefixes))}
 	h.expires = g.loop.Now().Add(g.settings.GrantLifetime)
 	h.timer = g.loop.After(g.settings.GrantLifetime, func() {
 		if g.heldGrants[id] == h {
--- a/acaciagrant/run.go
+++ b/acaciagrant/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
 	"github.com/acaciaroute/acaciaroute/acaciaqueue"
 )
 
@@ -93,7 +94,7 @@
 	g.removeFromPrefill(r)
 	g.lastPrefillEnd = now
 	g.estimator.ObservePrefill(r.uncachedTokens, now.Sub(start))
-	g.cache.Add(r.item.Prefixes)
+	g.cache.Add(acaciaprefix.BlockSegments(r.item.Prefixes))
 }
 
 // prefillStart returns when the engine could begin the prefill of r: when r began, or
--- a/acaciaprefix/cache.go
+++ b/acaciaprefix/cache.go
@@ -1,6 +1,9 @@
 package acaciaprefix
 
-import "container/list"
+import (
+	"container/list"
+	"slices"
+)
 
 type (
 	// Cache predicts the contents of an engine's prefix cache from the prompts that the
@@ -32,21 +35,26 @@
 	c.onEvict = f
 }
 
-// Cached returns the number of leading tokens of a prompt with these prefixes that
-// are expected to be in the cache.
-func (c *Cache) Cached(prefixes []uint64) int {
-	for n := len(prefixes); n > 0; n-- {
-		if _, ok := c.entries[prefixes[n-1]]; ok {
-			return CoveredTokens(n)
+// SetCapacity sets the capacity in tokens; the next Add evicts what exceeds it.
+func (c *Cache) SetCapacity(tokens int) {
+	c.capacity = tokens
+}
+
+// Cached returns the number of leading tokens of a prompt that are expected to be in the
+// cache.
+func (c *Cache) Cached(prompt []Segment) int {
+	for n := len(prompt); n > 0; n-- {
+		if _, ok := c.entries[prompt[n-1].Prefix]; ok {
+			return CountTokens(prompt[:n])
 		}
 	}
 	return 0
 }
 
-// Add records that a prompt with these prefixes was prefilled.
-func (c *Cache) Add(prefixes []uint64) {
-	for i := len(prefixes) - 1; i >= 0; i-- {
-		c.markUsed(prefixes[i], CoveredTokens(i+1)-CoveredTokens(i))
+// Add records that a prompt was prefilled.
+func (c *Cache) Add(prompt []Segment) {
+	for _, segment := range slices.Backward(prompt) {
+		c.markUsed(segment.Prefix, segment.Tokens)
 	}
 	for c.usedTokens > c.capacity {
 		c.evict(c.recency.Back())
--- a/acaciaschedule/peer.go
+++ b/acaciaschedule/peer.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
 )
 
 type (
@@ -12,6 +14,13 @@
 	Report struct {
 		// Running is the number of its running requests per endpoint ID.
 		Running map[string]int `json:"running,omitempty"`
+		// Prefill is the number of tokens that each endpoint has to prefill for its requests.
+		Prefill map[string]int `json:"prefill,omitempty"`
+		// Awaiting is the number of its requests that wait for each endpoint though others are
+		// free.
+		Awaiting map[string]int `json:"awaiting,omitempty"`
+		// Prompts holds, per endpoint ID, the prompts sent there since the last report.
+		Prompts map[string][][]acaciaprefix.Segment `json:"prompts,omitempty"`
 		// Waiting is the number of its waiting requests per service and rank.
 		Waiting map[string]map[int]int `json:"waiting,omitempty"`
 		// UnreachableEndpoints lists the IDs of the endpoints to which the process
@@ -77,8 +86,13 @@
 		s.lastReports[process] = now
 	}
 	for id, e := range s.endpointsByID {
-		if count := report.Running[id]; count != e.peerRunning[process] {
-			e.setPeerRunning(process, count)
+		e.setPeerLoad(process, report.Running[id], report.Prefill[id], report.Awaiting[id])
+	}
+	for id, prompts := range report.Prompts {
+		if e := s.endpointsByID[id]; e != nil {
+			for _, prompt := range prompts {
+				s.serviceByEndpointID[id].recordPrompt(e, prompt)
+			}
 		}
 	}
 	for _, id := range report.UnreachableEndpoints {
@@ -108,13 +122,24 @@
 	}
 }
 
-// BuildReport returns this process's report for the other processes.
+// BuildReport returns this process's report for the other processes. Prompts are in one
+// report only.
 func (s *Scheduler) BuildReport(now time.Time) Report {
-	report := Report{Running: map[string]int{}, Waiting: map[string]map[int]int{}, Heads: map[string][]QueuePosition{}}
+	report := Report{
+		Running: map[string]int{}, Prefill: map[string]int{}, Awaiting: map[string]int{}, Prompts: s.sentPrompts,
+		Waiting: map[string]map[int]int{}, Heads: map[string][]QueuePosition{},
+	}
+	s.sentPrompts = map[string][][]acaciaprefix.Segment{}
 	for id, e := range s.endpointsByID {
 		if e.ownRunning > 0 {
 			report.Running[id] = e.ownRunning
 		}
+		if e.awaiting > 0 {
+			report.Awaiting[id] = e.awaiting
+		}
+		if e.ownPrefill > 0 {
+			report.Prefill[id] = e.ownPrefill
+		}
 		if now.Before(e.unreachableUntil) {
 			report.UnreachableEndpoints = append(report.UnreachableEndpoints, id)
 		}
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
 	"github.com/acaciaroute/acaciaroute/acaciasite"
 )
 
@@ -23,10 +24,25 @@
 		// unanswered holds this process's requests for which no byte of the response has
 		// arrived, the oldest first.
 		unanswered []*Request
+		// cache predicts the contents of the endpoint's prefix cache.
+		cache *acaciaprefix.Cache
+		// ownPrefill is how many tokens the endpoint has to prefill for unanswered, peerPrefill
+		// the same for each other process and peerPrefillTotal their sum.
+		ownPrefill       int
+		peerPrefill      map[string]int
+		peerPrefillTotal int
+		// awaiting is how many waiting requests of this process wait for a slot here though
+		// others are free, peerAwaiting the same for each other process and
+		// peerAwaitingTotal their sum.
+		awaiting          int
+		peerAwaiting      map[string]int
+		peerAwaitingTotal int
 
 		// holdTime is the moving average of how long a request holds a slot; zero if
 		// unknown.
 		holdTime time.Duration
+		// pauseRate is the rate of too long pauses in its streams.
+		pauseRate pauseRate
 		// eventInterval is the moving average of the time between two events of a stream;
 		// zero if unknown.
 		eventInterval time.Duration
@@ -44,6 +60,12 @@
 	}
 )
 
+// candidate is an endpoint that a request may go to, with what it is expected to cost.
+type candidate struct {
+	endpoint *endpoint
+	cost     time.Duration
+}
+
 const (
 	// maxPrefetchInterval is the longest completion interval at which an endpoint gets
 	// requests beyond its slots: at a slower endpoint they would wait longer than in the
@@ -72,13 +94,24 @@
 	return e.completionInterval() * time.Duration(max(0, e.running()+1-e.info.Slots))
 }
 
-// setPeerRunning sets how many requests of another process the endpoint runs.
-func (e *endpoint) setPeerRunning(process string, count int) {
-	e.peerRunningTotal += count - e.peerRunning[process]
-	e.peerRunning[process] = count
+// setPeerLoad sets how many requests of another process the endpoint runs, how many tokens it
+// has to prefill for them, and how many await a slot there.
+func (e *endpoint) setPeerLoad(process string, running, prefill, awaiting int) {
+	e.peerRunningTotal += running - e.peerRunning[process]
+	e.peerPrefillTotal += prefill - e.peerPrefill[process]
+	e.peerAwaitingTotal += awaiting - e.peerAwaiting[process]
+	setOrDelete(e.peerAwaiting, process, awaiting)
+	setOrDelete(e.peerRunning, process, running)
+	setOrDelete(e.peerPrefill, process, prefill)
+}
+
+// setOrDelete sets the count of a process, or deletes it if it is zero.
+func setOrDelete(counts map[string]int, process string, count int) {
 	if count == 0 {
-		delete(e.peerRunning, process)
+		delete(counts, process)
+		return
 	}
+	counts[process] = count
 }
 
 // freeSlots returns how many more requests the endpoint can be given.
@@ -109,23 +142,67 @@
 	return otherRegionPenalty
 }
 
-// chooseEndpoint returns the endpoint with a free slot that is expected to answer the
-// request soonest, or nil if there is none.
-func (s *Scheduler) chooseEndpoint(svc *service, request *Request, now time.Time) *endpoint {
-	var best *endpoint
-	var bestTime time.Duration
+// chooseEndpoint returns the endpoint with a free slot that is expected to serve the request
+// best. It returns nil if there is none, and also if it is better to wait for a slot at another
+// endpoint, where the request can still meet its objective; awaited is that endpoint.
+func (s *Scheduler) chooseEndpoint(svc *service, request *Request, now time.Time) (chosen, awaited *endpoint) {
+	var free, occupied candidate
+	waitingPerEndpoint := svc.waitingPerEndpoint(request)
 	for _, id := range svc.endpointIDs {
 		e := svc.endpoints[id]
-		if s.freeSlots(e, now) == 0 || request.excludes(id) {
+		if !e.usable() || now.Before(e.suspendedUntil) || request.excludes(id) {
 			continue
 		}
-		expected := time.Duration(float64(svc.expectedFirstByte(e, request))*e.failureFactor()*svc.silencePenalty(e, now)) + e.queueingDelay() + s.distancePenalty(e)
-		expected += time.Duration(s.settings.Random() * float64(expected) * expectedTimeJitter)
-		if best == nil || expected < bestTime {
-			best, bestTime = e, expected
+		prefillCost := svc.prefillCost(e, request, waitingPerEndpoint)
+		if s.freeSlots(e, now) > 0 {
+			free.improve(e, s.expectedCost(svc, e, request, e.queueingDelay(), now)+prefillCost+svc.queueWait(e, e.awaitingOthers(request)))
+			continue
 		}
+		occupied.improve(e, s.expectedCost(svc, e, request, svc.queueWait(e, 1+e.awaitingOthers(request)), now)+prefillCost)
+	}
+	if request.Started || free.endpoint == nil || occupied.endpoint == nil || free.cost <= occupied.cost {
+		return free.endpoint, nil
+	}
+	return nil, occupied.endpoint
+}
+
+// improve replaces the candidate by the endpoint if that costs less.
+func (c *candidate) improve(e *endpoint, cost time.Duration) {
+	if c.endpoint == nil || cost < c.cost {
+		c.endpoint, c.cost = e, cost
+	}
+}
+
+// expectedCost returns the expected time to the first byte at the endpoint, of which the request
+// waits slotWait for a slot, here or there, and what the risks and the distance add to it. Being late costs the
+// request its objective.
+func (s *Scheduler) expectedCost(svc *service, e *endpoint, request *Request, slotWait time.Duration, now time.Time) time.Duration {
+	expected := slotWait + time.Duration(float64(svc.expectedFirstByte(e, request))*e.failureFactor()*svc.silencePenalty(e, now)) + s.distancePenalty(e)
+	if request.late || now.Add(expected).After(request.Objective) {
+		expected += request.Objective.Sub(request.Arrived)
+	} else {
+		expected += svc.pausePenalty(e, request)
+	}
+	return expected + time.Duration(s.settings.Random()*float64(expected)*expectedTimeJitter)
+}
+
+// queueWait returns how long an occupied endpoint takes to free a number of slots.
+func (svc *service) queueWait(e *endpoint, slots int) time.Duration {
+	interval := e.completionInterval()
+	if interval == 0 {
+		interval = svc.holdTime / time.Duration(e.info.Slots)
+	}
+	return interval * time.Duration(slots)
+}
+
+// awaitingOthers returns how many other requests wait for a slot at the endpoint though others
+// are free.
+func (e *endpoint) awaitingOthers(request *Request) int {
+	count := e.awaiting + e.peerAwaitingTotal
+	if request.awaited == e {
+		count--
 	}
-	return best
+	return count
 }
 
 // expectedTimeJitter is the largest random increase of an expected time, as a share of it,
--- a/acaciaschedule/queue.go
+++ b/acaciaschedule/queue.go
@@ -62,12 +62,6 @@
 // with less goes first, in seconds of an organisation's quota.
 const fairnessStep = 1.0
 
-// usualFirstByte returns the usual time from the assignment of a slot to the first byte of
-// the response.
-func (svc *service) usualFirstByte(request *Request) time.Duration {
-	return time.Duration(svc.firstByteModel.predictSeconds(float64(request.PromptTokens)) * float64(time.Second))
-}
-
 // expectedWait estimates how long a request waits for a slot: the number of requests of its
 // rank or a more urgent one that wait in all processes, itself included, times the time that
 // a request holds a slot, divided by the number of slots. Without a usable endpoint
@@ -94,6 +88,9 @@
 // waitsTooLong reports whether the first byte is expected so late that the request should be
 // rejected, for the caller to retry later.
 func (svc *service) waitsTooLong(request *Request, now time.Time) bool {
+	if request.Started {
+		return false
+	}
 	total := request.Deadline.Sub(request.Arrived)
 	waited := now.Sub(request.Arrived)
 	return waited+svc.expectedWait(request, now)+svc.usualFirstByte(request) > time.Duration(maxWaitShare*float64(total))
--- a/acaciaschedule/queue_test.go
+++ b/acaciaschedule/queue_test.go
@@ -60,3 +60,19 @@
 		previous = delay
 	}
 }
+
+// A stream that the caller has begun to receive must not be cut because it waits longer for its
+// next endpoint than a new request may.
+func TestStartedStreamIsNotRejectedBeforeItsDeadline(t *testing.T) {
+	s := newScheduler()
+	addEndpoint(s, "e", "a", 1)
+	s.Enqueue(newRequest("running", 1, atMillis(0)))
+	assert.Equal(t, len(decidePlacements(s, atMillis(0))), 1)
+	started := newRequest("started", 0, atMillis(0))
+	started.Started = true
+	s.Enqueue(started)
+	assert.Equal(t, len(s.DecideWaiting(atMillis(9900))), 0)
+	decisions := s.DecideWaiting(started.Deadline)
+	assert.Equal(t, len(decisions), 1)
+	assert.Check(t, decisions[0].Endpoint == nil)
+}
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
 	"github.com/acaciaroute/acaciaroute/acaciasite"
 )
 
@@ -33,11 +34,18 @@
 		// Rank is the scheduling rank of the request; a lower rank is more urgent.
 		Rank         int
 		PromptTokens int
-		Arrived      time.Time
+		// OutputTokens is the largest number of tokens of the response.
+		OutputTokens int
+		// Prompt holds the segments of the prompt that other requests may share, in order.
+		Prompt  []acaciaprefix.Segment
+		Arrived time.Time
 		// Objective is when the first byte of the response is due.
 		Objective time.Time
 		// Deadline is when the caller gives up.
 		Deadline time.Time
+		// Started reports whether the caller has received part of the response. The request
+		// then takes the first slot that it can get, and is rejected only at its deadline.
+		Started bool
 		// ExcludedEndpoints lists the IDs of endpoints that must not get the request
 		// again.
 		ExcludedEndpoints []string
@@ -50,12 +58,23 @@
 		// unplaceable reports whether there were free slots at the last decision but
 		// none at an endpoint that may run the request.
 		unplaceable bool
+		// awaited is the endpoint whose slot the request waits for though others are free; nil
+		// if it takes any.
+		awaited *endpoint
 		// endpoint is where the request holds a slot, nil without one; placedAt is when it
 		// was assigned and occupancy the endpoint's load just before.
 		endpoint  *endpoint
 		service   *service
 		placedAt  time.Time
 		occupancy float64
+		// mostCachedTokens is the most tokens of the prompt that an endpoint had in its
+		// cache when the request was enqueued.
+		mostCachedTokens int
+		// uncachedTokens is the part of the prompt that the endpoint prefills, and
+		// prefillTokens what it prefills until the first byte, as expected when the slot
+		// was assigned.
+		uncachedTokens int
+		prefillTokens  int
 	}
 
 	// Decision is the outcome for a waiting request.
@@ -99,6 +118,8 @@
 		serviceByEndpointID map[string]*service
 		// lastReports holds the time of the last report of each other process.
 		lastReports map[string]time.Time
+		// sentPrompts holds, per endpoint ID, the prompts sent there since the last report.
+		sentPrompts map[string][][]acaciaprefix.Segment
 	}
 
 	// service is a group of endpoints and the requests that wait for them.
@@ -118,6 +139,11 @@
 		// was last decayed at recentUseAt.
 		recentUse   map[string]float64
 		recentUseAt time.Time
+		// largestRequest is the size of the largest request in tokens, of prompt and
+		// response together.
+		largestRequest int
+		// meanEvents is the moving average of the number of events of each class's streams.
+		meanEvents map[string]float64
 	}
 )
 
@@ -135,6 +161,7 @@
 		endpointsByID:       map[string]*endpoint{},
 		serviceByEndpointID: map[string]*service{},
 		lastReports:         map[string]time.Time{},
+		sentPrompts:         map[string][][]acaciaprefix.Segment{},
 	}
 }
 
@@ -157,7 +184,7 @@
 	}
 	s.removeEndpoint(change.ID)
 	svc := s.getOrCreateService(info.Service)
-	e := &endpoint{info: info, peerRunning: map[string]int{}}
+	e := &endpoint{info: info, cache: acaciaprefix.NewCache(0), peerRunning: map[string]int{}, peerPrefill: map[string]int{}, peerAwaiting: map[string]int{}}
 	s.endpointsByID[info.ID], s.serviceByEndpointID[info.ID] = e, svc
 	svc.endpoints[info.ID] = e
 	svc.endpointIDs = append(svc.endpointIDs, info.ID)
@@ -169,6 +196,8 @@
 func (s *Scheduler) Enqueue(request *Request) {
 	svc := s.getOrCreateService(request.Service)
 	request.service = svc
+	svc.observeRequestSize(request.PromptTokens + request.OutputTokens)
+	request.mostCachedTokens = svc.mostCachedTokens(request)
 	svc.waiting = append(svc.waiting, request)
 }
 
@@ -180,28 +209,18 @@
 		return false
 	}
 	svc.waiting = slices.Delete(svc.waiting, index, index+1)
+	request.await(nil)
 	return true
 }
 
 // RecordFirstByte records that the first byte of the request's response has arrived.
 func (s *Scheduler) RecordFirstByte(request *Request, now time.Time) {
 	e := request.endpoint
-	e.unanswered = slices.DeleteFunc(e.unanswered, func(other *Request) bool { return other == request })
+	e.endPrefill(request)
 	request.service.recordFirstByte(e, request, now.Sub(request.placedAt), request.occupancy)
 	e.recordSuccess()
 }
 
-// RecordEventInterval adds the mean time between the events of a stream to the moving average
-// of the endpoint that sent them.
-func (s *Scheduler) RecordEventInterval(request *Request, interval time.Duration) {
-	e := request.endpoint
-	if e.eventInterval == 0 {
-		e.eventInterval = interval
-		return
-	}
-	e.eventInterval += time.Duration(endpointAverageWeight * float64(interval-e.eventInterval))
-}
-
 // HasFasterEndpoint reports whether another endpoint has a free slot for a stream
 // and delivers events much faster than its present one.
 func (s *Scheduler) HasFasterEndpoint(request *Request, now time.Time) bool {
@@ -253,7 +272,7 @@
 		return
 	}
 	e.ownRunning--
-	e.unanswered = slices.DeleteFunc(e.unanswered, func(other *Request) bool { return other == request })
+	e.endPrefill(request)
 	held := now.Sub(request.placedAt)
 	svc.holdTime += time.Duration(holdTimeWeight * float64(held-svc.holdTime))
 	if e.holdTime == 0 {
@@ -291,9 +310,12 @@
 		// waiting for one.
 		request.unplaceable = false
 		if blocked+svc.countPeerAhead(request, now) < free {
-			e = s.chooseEndpoint(svc, request, now)
+			var awaited *endpoint
+			e, awaited = s.chooseEndpoint(svc, request, now)
 			request.unplaceable = e == nil
+			request.await(awaited)
 		} else {
+			request.await(nil)
 			blocked++
 		}
 		svc.waiting = append(slices.Clone(kept), queue[i:]...)
@@ -306,6 +328,7 @@
 			s.assign(svc, e, request, now)
 			free--
 		case !now.Before(request.Deadline) || svc.waitsTooLong(request, now):
+			request.await(nil)
 			decisions = append(decisions, Decision{Request: request, RetryAfter: s.retryAfter(svc, request, now), Inputs: s.decisionInputs(svc, request, now)})
 		default:
 			kept = append(kept, request)
@@ -319,8 +342,13 @@
 func (s *Scheduler) assign(svc *service, e *endpoint, request *Request, now time.Time) {
 	request.endpoint, request.placedAt = e, now
 	request.occupancy = float64(e.running()) / float64(e.info.Slots)
+	request.prefillTokens = e.tokensToPrefill(request)
 	e.ownRunning++
-	e.unanswered = append(e.unanswered, request)
+	e.startPrefill(request)
+	if len(request.Prompt) > 0 {
+		svc.recordPrompt(e, request.Prompt)
+		s.sentPrompts[e.info.ID] = append(s.sentPrompts[e.info.ID], request.Prompt)
+	}
 	if request.Share > 0 {
 		svc.recentUse[request.Organisation] += request.Cost / request.Share
 	}
@@ -371,6 +399,7 @@
 			endpoints:      map[string]*endpoint{},
 			peerQueues:     map[string]peerQueue{},
 			recentUse:      map[string]float64{},
+			meanEvents:     map[string]float64{},
 			firstByteModel: newFirstByteModel(),
 			holdTime:       priorHoldTime,
 		}
@@ -394,6 +423,17 @@
 	svc.endpointIDs = slices.DeleteFunc(svc.endpointIDs, func(other string) bool { return other == id })
 }
 
+// await sets the endpoint whose slot the request waits for; nil for any.
+func (r *Request) await(e *endpoint) {
+	if r.awaited != nil {
+		r.awaited.awaiting--
+	}
+	r.awaited = e
+	if e != nil {
+		e.awaiting++
+	}
+}
+
 // excludes reports whether the endpoint must not run the request.
 func (r *Request) excludes(id string) bool {
 	return slices.Contains(r.ExcludedEndpoints, id) || len(r.AllowedEndpoints) > 0 && !slices.Contains(r.AllowedEndpoints, id)
--- a/acaciaschedule/speed.go
+++ b/acaciaschedule/speed.go
@@ -56,7 +56,7 @@
 // present load.
 func (svc *service) expectedFirstByte(e *endpoint, request *Request) time.Duration {
 	occupancy := float64(e.running()) / float64(e.info.Slots)
-	predicted := svc.firstByteModel.predictSeconds(float64(request.PromptTokens)) * svc.slowdown(e) * (1 + loadPenalty*occupancy)
+	predicted := svc.firstByteModel.predictSeconds(float64(e.tokensToPrefill(request))) * svc.slowdown(e) * (1 + loadPenalty*occupancy)
 	return time.Duration(predicted * float64(time.Second))
 }
 
@@ -77,14 +77,14 @@
 		return 1
 	}
 	oldest := e.unanswered[0]
-	expected := svc.firstByteModel.predictSeconds(float64(oldest.PromptTokens)) * svc.slowdown(e) * (1 + loadPenalty)
+	expected := svc.firstByteModel.predictSeconds(float64(oldest.prefillTokens)) * svc.slowdown(e) * (1 + loadPenalty)
 	return max(1, now.Sub(oldest.placedAt).Seconds()/(silenceTolerance*expected))
 }
 
 // recordFirstByte adds an observed time to the first byte to the averages of the endpoint
 // and of the service; occupancy is the endpoint's load when the request was assigned to it.
 func (svc *service) recordFirstByte(e *endpoint, request *Request, elapsed time.Duration, occupancy float64) {
-	usual := svc.firstByteModel.predictSeconds(float64(request.PromptTokens)) * (1 + loadPenalty*occupancy)
+	usual := svc.firstByteModel.predictSeconds(float64(request.prefillTokens)) * (1 + loadPenalty*occupancy)
 	ratio := min(max(elapsed.Seconds()/usual, minSlowdown), maxSlowdown)
 	if e.observations == 0 {
 		e.slowdown = ratio
@@ -92,5 +92,5 @@
 		e.slowdown += endpointAverageWeight * (ratio - e.slowdown)
 	}
 	e.observations++
-	svc.firstByteModel.Add(float64(request.PromptTokens), elapsed.Seconds()/(e.slowdown*(1+loadPenalty*occupancy)))
+	svc.firstByteModel.Add(float64(request.prefillTokens), elapsed.Seconds()/(e.slowdown*(1+loadPenalty*occupancy)))
 }
--- a/acaciasite/endpoint.go
+++ b/acaciasite/endpoint.go
@@ -40,6 +40,8 @@
 		// LastEventID is the ID of the last event that the caller has received of a
 		// stream to be resumed; empty for a new request.
 		LastEventID string
+		// Model is the model that the request is for; empty if it names none.
+		Model string
 		// PromptTokens and OutputTokens are zero for services that generate no tokens.
 		PromptTokens int
 		OutputTokens int
--- a/acaciastandin/engine.go
+++ b/acaciastandin/engine.go
@@ -83,7 +83,7 @@
 
 // CachedTokens returns the number of leading tokens of a prompt that are in the cache.
 func (e *EngineCore) CachedTokens(prefixes []uint64) int {
-	return e.cache.Cached(prefixes)
+	return e.cache.Cached(acaciaprefix.BlockSegments(prefixes))
 }
 
 // Submit adds a sequence to the end of the waiting queue.
@@ -166,7 +166,7 @@
 		if s.cancelled {
 			continue
 		}
-		s.CachedTokens = min(e.cache.Cached(s.Prefixes), s.PromptTokens-1)
+		s.CachedTokens = min(e.cache.Cached(acaciaprefix.BlockSegments(s.Prefixes)), s.PromptTokens-1)
 		s.remainingPrompt = s.PromptTokens - s.CachedTokens
 		e.running = append(e.running, s)
 	}
@@ -184,7 +184,7 @@
 		s.remainingPrompt -= tokens
 		budget -= tokens
 		if s.remainingPrompt == 0 {
-			e.cache.Add(s.Prefixes)
+			e.cache.Add(acaciaprefix.BlockSegments(s.Prefixes))
 		}
 	}
 	chunk := e.settings.PrefillChunkTokens - budget
