acaciaschedule: a guaranteed share for each class; another region's slots only when spare

Change: a class that has used less than 0.05 of the slot time that its gateway gave out over the last seconds has its first request that can be in time go ahead. It needs no messages.

Gateways of the other region, which hear of a slot 100 ms later, filled slots that had been taken long since. Change: while requests wait in a region, others leave its slots alone.

--- a/acaciacapacity/gateway_test.go
+++ b/acaciacapacity/gateway_test.go
@@ -25,7 +25,7 @@
 	}
 	for i := range peers {
 		report := newGatewayReport(i, endpoints)
-		s.ApplyReport(fmt.Sprint("gateway-", i), &report, time.Unix(1, 0))
+		s.ApplyReport(fmt.Sprint("gateway-", i), "r", &report, time.Unix(1, 0))
 	}
 	return s
 }
@@ -75,7 +75,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				s.ApplyReport("gateway-1", &received.Report, time.Unix(1, 0))
+				s.ApplyReport("gateway-1", "near", &received.Report, time.Unix(1, 0))
 			}
 			b.ReportMetric(float64(len(data)), "bytes")
 		})
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -72,6 +72,10 @@
 	tickInterval = 20 * time.Millisecond
 	// prefetch is how many requests an endpoint may be sent beyond its number of slots.
 	prefetch = 1
+	// guaranteedShare is the share of a service's slot time that each class gets even while
+	// more urgent classes could use all of it: enough that callers of no class are turned away
+	// for good, and too little to be missed by the others.
+	guaranteedShare = 0.05
 	// drainDelay is how long a stopping gateway accepts all requests before it drains, so that
 	// the load balancer has time to see that it is not ready.
 	drainDelay = 2900 * time.Millisecond
@@ -94,7 +98,7 @@
 		upstream: acaciaupstream.NewPool(),
 		loop:     acacialoop.New(ctx),
 		scheduler: acaciaschedule.New(acaciaschedule.Settings{
-			DataCentre: settings.DataCentre, Regions: settings.RegionOfDataCentre, Prefetch: prefetch, Random: rand.Float64,
+			DataCentre: settings.DataCentre, Regions: settings.RegionOfDataCentre, Prefetch: prefetch, GuaranteedShare: guaranteedShare, Random: rand.Float64,
 		}),
 		quota: acaciabudget.NewQuota(acaciabudget.QuotaSettings{
 			Window: settings.QuotaWindow, Overrun: settings.QuotaOverrun, Slack: settings.QuotaSlack,
--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -109,7 +109,7 @@
 // removePeer discards what a peer has reported and records that the peer is gone. It must be
 // called on the loop.
 func (g *Gateway) removePeer(name string) {
-	g.scheduler.ApplyReport(name, nil, g.loop.Now())
+	g.scheduler.ApplyReport(name, "", nil, g.loop.Now())
 	g.quota.RemovePeer(name)
 	g.recorder.Record(acaciaevent.Event{Kind: acaciaevent.PeerLost, Detail: name})
 }
@@ -154,7 +154,7 @@
 		g.scheduleBroadcast()
 	case acaciapeer.EffectUpdated:
 	}
-	g.scheduler.ApplyReport(message.Process, &message.Report, now)
+	g.scheduler.ApplyReport(message.Process, message.Region, &message.Report, now)
 	g.quota.ApplyPeerUsage(message.Process, message.Used, now)
 	g.crashCounts.setPeerCounts(message.Process, message.CrashCounts)
 	if g.endpoints.recordPeerReadable(time.Duration(message.StoreReadableMS)*time.Millisecond, now) {
--- a/acaciagateway/serve.go
+++ b/acaciagateway/serve.go
@@ -25,8 +25,8 @@
 	// is not ready or is stopping, or endpoints refused the request.
 	shortRetryAfter = 300 * time.Millisecond
 	// resumedStreamRank is the rank of a stream that the caller has begun to receive and that
-	// must be resumed; it is ahead of all other requests.
-	resumedStreamRank = -1
+	// must be resumed; it is ahead of all other requests, guaranteed ones included.
+	resumedStreamRank = -2
 )
 
 // serveCaller handles callers' requests.
--- a/acaciaschedule/peer.go
+++ b/acaciaschedule/peer.go
@@ -36,6 +36,7 @@
 
 	// peerQueue is another process's queue for one service, as last reported.
 	peerQueue struct {
+		region     string
 		reportedAt time.Time
 		waiting    map[int]int
 		heads      []QueuePosition
@@ -73,12 +74,12 @@
 	if r.late {
 		position |= lateBit
 	}
-	return QueuePosition(int64(r.Rank)<<positionBits | position)
+	return QueuePosition(int64(r.effectiveRank())<<positionBits | position)
 }
 
-// ApplyReport applies the report of another process; a nil report removes that
+// ApplyReport applies the report of another process in a region; a nil report removes that
 // process.
-func (s *Scheduler) ApplyReport(process string, report *Report, now time.Time) {
+func (s *Scheduler) ApplyReport(process, region string, report *Report, now time.Time) {
 	if report == nil {
 		report = &Report{}
 		delete(s.lastReports, process)
@@ -101,14 +102,11 @@
 		}
 	}
 	for name, svc := range s.services {
-		delete(svc.peerQueues, process)
-		if len(report.Waiting[name]) > 0 {
-			svc.peerQueues[process] = peerQueue{reportedAt: now, waiting: report.Waiting[name], heads: report.Heads[name]}
-		}
+		svc.setPeerQueue(process, peerQueue{region: region, reportedAt: now, waiting: report.Waiting[name], heads: report.Heads[name]})
 	}
 	for name, ranks := range report.Waiting {
 		if _, known := s.services[name]; !known {
-			s.getOrCreateService(name).peerQueues[process] = peerQueue{reportedAt: now, waiting: ranks, heads: report.Heads[name]}
+			s.getOrCreateService(name).setPeerQueue(process, peerQueue{region: region, reportedAt: now, waiting: ranks, heads: report.Heads[name]})
 		}
 	}
 }
@@ -117,7 +115,7 @@
 func (s *Scheduler) expireReports(now time.Time) {
 	for process, reportedAt := range s.lastReports {
 		if now.Sub(reportedAt) >= reportLifetime {
-			s.ApplyReport(process, nil, now)
+			s.ApplyReport(process, "", nil, now)
 		}
 	}
 }
@@ -162,6 +160,27 @@
 	return report
 }
 
+// setPeerQueue replaces the queue of another process.
+func (svc *service) setPeerQueue(process string, queue peerQueue) {
+	old := svc.peerQueues[process]
+	svc.regionWaiting[old.region] -= old.length()
+	svc.regionWaiting[queue.region] += queue.length()
+	if queue.length() == 0 {
+		delete(svc.peerQueues, process)
+		return
+	}
+	svc.peerQueues[process] = queue
+}
+
+// length returns the number of waiting requests.
+func (q *peerQueue) length() int {
+	n := 0
+	for _, count := range q.waiting {
+		n += count
+	}
+	return n
+}
+
 // countPeerWaiting counts the waiting requests of other processes whose rank matches.
 func (svc *service) countPeerWaiting(matches func(rank int) bool) int {
 	n := 0
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -11,7 +11,8 @@
 	// endpoint is the state that the process keeps of one endpoint. The endpoint has
 	// info.Slots slots and runs one request in each.
 	endpoint struct {
-		info acaciasite.Endpoint
+		info    acaciasite.Endpoint
+		service *service
 		// removed is set once the endpoint is no longer listed.
 		removed bool
 		// ownRunning is how many requests of this process the endpoint runs.
@@ -120,7 +121,14 @@
 		return 0
 	}
 	slots := e.info.Slots
-	if e.completionInterval() <= maxPrefetchInterval {
+	switch region := s.settings.Regions[e.info.DataCentre]; {
+	case region != s.settings.Regions[s.settings.DataCentre]:
+		// What runs in another region is known late. While requests wait there, its slots
+		// are taken before this process hears that they are free.
+		if e.service.regionWaiting[region] > 0 {
+			return 0
+		}
+	case e.completionInterval() <= maxPrefetchInterval:
 		slots += s.settings.Prefetch
 	}
 	return max(0, slots-e.running())
--- a/acaciaschedule/queue.go
+++ b/acaciaschedule/queue.go
@@ -28,13 +28,14 @@
 // sortWaiting sorts a service's waiting requests by rank, then those that can still meet
 // their objective, then the organisation that recently used least of its share, then by
 // objective.
-func (svc *service) sortWaiting(now time.Time) {
+func (s *Scheduler) sortWaiting(svc *service, now time.Time) {
 	for _, request := range svc.waiting {
 		request.late = now.Add(svc.usualFirstByte(request)).After(request.Objective)
 	}
+	s.applyGuarantees(svc)
 	slices.SortStableFunc(svc.waiting, func(a, b *Request) int {
 		return cmp.Or(
-			cmp.Compare(a.Rank, b.Rank),
+			cmp.Compare(a.effectiveRank(), b.effectiveRank()),
 			compareBool(a.late, b.late),
 			cmp.Compare(svc.recentUseLevel(a), svc.recentUseLevel(b)),
 			a.Objective.Compare(b.Objective),
@@ -76,9 +77,9 @@
 	if slots == 0 {
 		return priorHoldTime
 	}
-	ahead := svc.countPeerWaiting(func(rank int) bool { return rank <= request.Rank })
+	ahead := svc.countPeerWaiting(func(rank int) bool { return rank <= request.effectiveRank() })
 	for _, other := range svc.waiting {
-		if other != request && other.Rank <= request.Rank {
+		if other != request && other.effectiveRank() <= request.effectiveRank() {
 			ahead++
 		}
 	}
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -17,6 +17,9 @@
 		// Prefetch is the number of requests that an endpoint gets beyond its slots, so
 		// that it is not idle while the end of its last response is on the way here.
 		Prefetch int
+		// GuaranteedShare is the share of a service's slot time that each class gets for
+		// requests that can meet their objective, however many more urgent ones wait.
+		GuaranteedShare float64
 		// Random returns a random number in [0, 1).
 		Random func() float64
 	}
@@ -55,6 +58,8 @@
 
 		// late reports whether the request can no longer meet its objective.
 		late bool
+		// guaranteed reports whether the request waits on its class's guaranteed share.
+		guaranteed bool
 		// unplaceable reports whether there were free slots at the last decision but
 		// none at an endpoint that may run the request.
 		unplaceable bool
@@ -131,7 +136,9 @@
 		endpointIDs []string
 		waiting     []*Request
 		// peerQueues holds the last reported queue of each other process.
-		peerQueues     map[string]peerQueue
+		peerQueues map[string]peerQueue
+		// regionWaiting is the number of requests in peerQueues by region.
+		regionWaiting  map[string]int
 		firstByteModel firstByteModel
 		// holdTime is the moving average of how long a request holds a slot.
 		holdTime time.Duration
@@ -139,6 +146,8 @@
 		// was last decayed at recentUseAt.
 		recentUse   map[string]float64
 		recentUseAt time.Time
+		// shares is what each class recently used of the slot time.
+		shares slotShares
 		// largestRequest is the size of the largest request in tokens, of prompt and
 		// response together.
 		largestRequest int
@@ -184,7 +193,7 @@
 	}
 	s.removeEndpoint(change.ID)
 	svc := s.getOrCreateService(info.Service)
-	e := &endpoint{info: info, cache: acaciaprefix.NewCache(0), peerRunning: map[string]int{}, peerPrefill: map[string]int{}, peerAwaiting: map[string]int{}}
+	e := &endpoint{info: info, service: svc, cache: acaciaprefix.NewCache(0), peerRunning: map[string]int{}, peerPrefill: map[string]int{}, peerAwaiting: map[string]int{}}
 	s.endpointsByID[info.ID], s.serviceByEndpointID[info.ID] = e, svc
 	svc.endpoints[info.ID] = e
 	svc.endpointIDs = append(svc.endpointIDs, info.ID)
@@ -274,6 +283,7 @@
 	e.ownRunning--
 	e.endPrefill(request)
 	held := now.Sub(request.placedAt)
+	svc.shares.add(request.Class, held, now)
 	svc.holdTime += time.Duration(holdTimeWeight * float64(held-svc.holdTime))
 	if e.holdTime == 0 {
 		e.holdTime = held
@@ -298,7 +308,7 @@
 // decideService decides on the waiting requests of one service.
 func (s *Scheduler) decideService(svc *service, now time.Time) []Decision {
 	svc.decayRecentUse(now)
-	svc.sortWaiting(now)
+	s.sortWaiting(svc, now)
 	var decisions []Decision
 	kept := svc.waiting[:0:0]
 	free, blocked := s.freeSlotsOfService(svc, now), 0
@@ -398,8 +408,10 @@
 			name:           name,
 			endpoints:      map[string]*endpoint{},
 			peerQueues:     map[string]peerQueue{},
+			regionWaiting:  map[string]int{},
 			recentUse:      map[string]float64{},
 			meanEvents:     map[string]float64{},
+			shares:         slotShares{seconds: map[string]float64{}},
 			firstByteModel: newFirstByteModel(),
 			holdTime:       priorHoldTime,
 		}
--- a/acaciaschedule/scheduler_test.go
+++ b/acaciaschedule/scheduler_test.go
@@ -41,7 +41,7 @@
 // sendReport applies the report that one scheduler makes at sent to another at received.
 func sendReport(from, to *Scheduler, sent, received time.Time) {
 	report := from.BuildReport(sent)
-	to.ApplyReport("other", &report, received)
+	to.ApplyReport("other", "near", &report, received)
 }
 
 // decidePlacements runs DecideWaiting once and returns the endpoint ID of each
@@ -72,7 +72,7 @@
 func TestPeerReportCountsUntilItExpires(t *testing.T) {
 	s := newScheduler()
 	addEndpoint(s, "e", "a", 2)
-	s.ApplyReport("peer", &Report{Running: map[string]int{"e": 2}}, atMillis(0))
+	s.ApplyReport("peer", "near", &Report{Running: map[string]int{"e": 2}}, atMillis(0))
 	s.Enqueue(newRequest("r", 0, atMillis(0)))
 	assert.Equal(t, len(decidePlacements(s, atMillis(10))), 0)
 	assert.DeepEqual(t, decidePlacements(s, atMillis(0).Add(reportLifetime)), map[string]string{"r": "e"})
@@ -93,7 +93,7 @@
 			report := from.BuildReport(now)
 			for j, to := range schedulers {
 				if i != j {
-					to.ApplyReport(fmt.Sprint(i), &report, now)
+					to.ApplyReport(fmt.Sprint(i), "near", &report, now)
 				}
 			}
 		}
@@ -362,7 +362,7 @@
 					break
 				}
 			case 4:
-				s.ApplyReport("peer", &Report{
+				s.ApplyReport("peer", "near", &Report{
 					Waiting: map[string]map[int]int{"m": {0: 1}},
 					Heads:   map[string][]QueuePosition{"m": {QueuePosition(rapid.Int64Range(0, 3).Draw(t, "head")) << positionBits}},
 				}, now)
@@ -383,3 +383,15 @@
 		}
 	})
 }
+
+// News of another region is late: while requests wait there, a slot that looks free is about to
+// be taken.
+func TestOtherRegionsSlotsAreLeftToRequestsThatWaitThere(t *testing.T) {
+	for waiting, want := range map[int]string{0: "far", 3: ""} {
+		s := newScheduler()
+		addEndpoint(s, "far", "c", 2)
+		s.ApplyReport("peer", "far", &Report{Running: map[string]int{"far": 1}, Waiting: map[string]map[int]int{"m": {1: waiting}}}, atMillis(0))
+		s.Enqueue(newRequest("r", 0, atMillis(1)))
+		assert.Equal(t, decidePlacements(s, atMillis(1))["r"], want)
+	}
+}
