Messages between gateways: binary, changes only, fewer between regions

Bytes between regions were the dearest price after VMs there; applying one message looked at every endpoint. Change: a generated message (acacia.proto), endpoints by a 32-bit hash of their ID, only the organisations whose use has changed (all of them each second, since a datagram may be lost), and the interval between regions grows with the number of processes up to 0.5 s. Applying a message costs what it holds, not what the process knows. Old and new gateways do not understand each other: during an upgrade each kind counts the other as silent.

--- a/acaciabudget/budget_test.go
+++ b/acaciabudget/budget_test.go
@@ -68,7 +68,7 @@
 			}
 			for j, other := range quotas {
 				if i != j {
-					other.ApplyPeerUsage(names[i], q.Used(), now)
+					other.ApplyPeerUsage(names[i], q.Used(), true, now)
 				}
 			}
 		}
@@ -216,12 +216,12 @@
 
 func TestRestartedPeerIsNotChargedTwice(t *testing.T) {
 	q := newWarmQuota(1, 1)
-	q.ApplyPeerUsage("peer", map[string]float64{"club": 500}, start)
+	q.ApplyPeerUsage("peer", map[string]float64{"club": 500}, true, start)
 	ok, _ := q.Take(Charge{Organisation: "club", Cost: 1, SpareCapacity: true}, start)
 	assert.Check(t, ok, "the first report of a process was charged")
 	q.RemovePeer("peer")
-	q.ApplyPeerUsage("peer", map[string]float64{"club": 1}, start)
-	q.ApplyPeerUsage("peer", map[string]float64{"club": 900}, start)
+	q.ApplyPeerUsage("peer", map[string]float64{"club": 1}, true, start)
+	q.ApplyPeerUsage("peer", map[string]float64{"club": 900}, true, start)
 	ok, _ = q.Take(Charge{Organisation: "club", Cost: 1, SpareCapacity: true}, start)
 	assert.Check(t, !ok)
 }
@@ -247,3 +247,39 @@
 	assert.Check(t, float64(retries) <= settings.Ratio*float64(requests)+settings.Slack, "%d of %d requests sent again", retries, requests)
 	assert.Check(t, retries > 0)
 }
+
+// Reports between two complete ones hold only what has changed, and may be lost.
+func TestPartialUseReportsAreCharged(t *testing.T) {
+	used := func(amount float64) map[string]float64 { return map[string]float64{"club": amount} }
+	level := func(q *Quota) float64 {
+		q.refill(q.accounts["club"], start)
+		return q.accounts["club"].level
+	}
+	q := newWarmQuota(1000, 1000)
+	full := level(q)
+	q.ApplyPeerUsage("peer", used(500), false, start)
+	assert.Equal(t, level(q), full, "a use of unknown age was charged")
+	q.ApplyPeerUsage("peer", used(600), true, start)
+	assert.Equal(t, level(q), full, "the first complete report was charged")
+	q.ApplyPeerUsage("peer", used(650), false, start)
+	assert.Equal(t, level(q), full-50)
+	q.ApplyPeerUsage("peer", map[string]float64{}, false, start)
+	assert.Equal(t, level(q), full-50)
+	// A partial report with 700 is lost.
+	q.ApplyPeerUsage("peer", used(720), true, start)
+	assert.Equal(t, level(q), full-120)
+	q.ApplyPeerUsage("new", nil, true, start)
+	q.ApplyPeerUsage("new", used(30), false, start)
+	assert.Equal(t, level(q), full-150, "a process that had used nothing")
+}
+
+func TestChangedUseIsReportedOnce(t *testing.T) {
+	q := newWarmQuota(1000, 1000)
+	assert.Equal(t, len(q.ChangedUse()), 0)
+	ok, _ := q.Take(Charge{Organisation: "club", Cost: 5}, start)
+	assert.Check(t, ok)
+	assert.DeepEqual(t, q.ChangedUse(), map[string]float64{"club": 5})
+	assert.Equal(t, len(q.ChangedUse()), 0)
+	q.Refund("club", 5)
+	assert.DeepEqual(t, q.ChangedUse(), map[string]float64{"club": 0})
+}
--- a/acaciabudget/quota.go
+++ b/acaciabudget/quota.go
@@ -1,6 +1,7 @@
 package acaciabudget
 
 import (
+	"maps"
 	"time"
 
 	"github.com/acaciaroute/acaciaroute/acaciasite"
@@ -59,6 +60,8 @@
 		meanCost float64
 		// used is what this process has used since it started.
 		used float64
+		// reportedUse is the value of used at the last ChangedUse.
+		reportedUse float64
 	}
 )
 
@@ -167,13 +170,29 @@
 	return used
 }
 
+// ChangedUse returns what this process has used since it started, for the organisations
+// whose use has changed since the last call.
+func (q *Quota) ChangedUse() map[string]float64 {
+	changed := map[string]float64{}
+	for name, a := range q.accounts {
+		if a.used != a.reportedUse {
+			changed[name] = a.used
+			a.reportedUse = a.used
+		}
+	}
+	return changed
+}
+
 // ApplyPeerUsage charges organisations for what another process has used since its
-// previous report. The first report of a process charges nothing, because its use
-// may be old.
-func (q *Quota) ApplyPeerUsage(process string, used map[string]float64, now time.Time) {
+// previous report. A complete report holds all organisations. Until the first complete
+// report of a process nothing is charged, because its use may be old.
+func (q *Quota) ApplyPeerUsage(process string, used map[string]float64, complete bool, now time.Time) {
 	last, known := q.peerUsage[process]
-	q.peerUsage[process] = used
 	if !known {
+		if complete {
+			q.peerUsage[process] = map[string]float64{}
+			maps.Copy(q.peerUsage[process], used)
+		}
 		return
 	}
 	for name, amount := range used {
@@ -181,6 +200,7 @@
 			q.refill(a, now)
 			a.debit(amount - last[name])
 		}
+		last[name] = amount
 	}
 }
 
--- a/acaciacapacity/gateway_test.go
+++ b/acaciacapacity/gateway_test.go
@@ -32,9 +32,9 @@
 
 // newGatewayReport returns the report of a gateway with five running requests.
 func newGatewayReport(number, endpoints int) acaciaschedule.Report {
-	report := acaciaschedule.Report{Running: map[string]int{}}
+	report := acaciaschedule.Report{Loads: map[acaciaschedule.EndpointKey]acaciaschedule.EndpointLoad{}}
 	for i := range 5 {
-		report.Running[fmt.Sprintf("i-%08x", (number*5+i)%endpoints)] = 1
+		report.Loads[acaciaschedule.KeyOf(fmt.Sprintf("i-%08x", (number*5+i)%endpoints))] = acaciaschedule.EndpointLoad{Running: 1}
 	}
 	return report
 }
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -47,6 +47,7 @@
 		broadcastScheduled    bool
 		fetchingConfiguration bool
 		messageSequence       uint64
+		completeUseSentAt     time.Time
 		startedAt             int64
 
 		peerSocket *net.UDPConn
--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -19,6 +19,9 @@
 	// broadcastIntervalPerProcess makes the interval grow with the number of gateways, so that
 	// the cost of messages does not grow with the square of that number.
 	broadcastIntervalPerProcess = 2 * time.Millisecond
+	// completeUseInterval is the time between two messages with the use of all organisations;
+	// those in between hold what has changed, and may be lost.
+	completeUseInterval = time.Second
 	// heartbeatInterval is the interval at which a gateway schedules a message even if it has
 	// no requests.
 	heartbeatInterval = 400 * time.Millisecond
@@ -65,11 +68,16 @@
 		Sequence:        g.messageSequence,
 		Region:          g.settings.Region,
 		Report:          g.scheduler.BuildReport(now),
-		Used:            g.quota.Used(),
 		StoreReadableMS: g.endpoints.readableFor(now).Milliseconds(),
 		CrashCounts:     g.crashCounts.local,
 		Leaving:         leaving,
 	}
+	message.UsedComplete = leaving || now.Sub(g.completeUseSentAt) >= completeUseInterval
+	message.Used = g.quota.ChangedUse()
+	if message.UsedComplete {
+		g.completeUseSentAt = now
+		message.Used = g.quota.Used()
+	}
 	if current := g.configuration.Load(); current != nil {
 		message.Version = current.Version
 	}
@@ -155,7 +163,7 @@
 	case acaciapeer.EffectUpdated:
 	}
 	g.scheduler.ApplyReport(message.Process, message.Region, &message.Report, now)
-	g.quota.ApplyPeerUsage(message.Process, message.Used, now)
+	g.quota.ApplyPeerUsage(message.Process, message.Used, message.UsedComplete, now)
 	g.crashCounts.setPeerCounts(message.Process, message.CrashCounts)
 	if g.endpoints.recordPeerReadable(time.Duration(message.StoreReadableMS)*time.Millisecond, now) {
 		g.dropAllMissing()
--- a/acaciagateway/request_test.go
+++ b/acaciagateway/request_test.go
@@ -97,7 +97,7 @@
 	<-cancelled
 	waitFor(t, func() bool {
 		idle := false
-		b.gateway.loop.Do(func() { idle = len(b.gateway.scheduler.BuildReport(time.Now()).Running) == 0 })
+		b.gateway.loop.Do(func() { idle = len(b.gateway.scheduler.BuildReport(time.Now()).Loads) == 0 })
 		return idle
 	})
 }
@@ -147,8 +147,8 @@
 	requestCounts := func() (running, waiting int) {
 		b.gateway.loop.Do(func() {
 			report := b.gateway.scheduler.BuildReport(time.Now())
-			for _, count := range report.Running {
-				running += count
+			for _, load := range report.Loads {
+				running += load.Running
 			}
 			for _, ranks := range report.Waiting {
 				for _, count := range ranks {
--- a/acaciapeer/members.go
+++ b/acaciapeer/members.go
@@ -55,9 +55,13 @@
 	// lostRetention is how long a dropped process counts as possibly alive behind a network
 	// partition.
 	lostRetention = 20 * time.Second
-	// otherRegionInterval is the least time between messages to a process in another
-	// region.
-	otherRegionInterval = 100 * time.Millisecond
+	// minOtherRegionInterval is the least time between messages to a process in another
+	// region. The interval grows by otherRegionIntervalPerProcess with each known process, so
+	// that the bytes between regions do not grow with the square of their number, up to
+	// maxOtherRegionInterval, after which quotas would be charged too late.
+	minOtherRegionInterval        = 100 * time.Millisecond
+	otherRegionIntervalPerProcess = 8 * time.Millisecond
+	maxOtherRegionInterval        = 500 * time.Millisecond
 )
 
 // NewMembers returns the membership list of a process that has just started in a region.
@@ -126,6 +130,7 @@
 func (m *Members) NextTargets(now time.Time) []string {
 	var targets []string
 	live := map[string]bool{}
+	otherRegionInterval := min(max(time.Duration(m.Count())*otherRegionIntervalPerProcess, minOtherRegionInterval), maxOtherRegionInterval)
 	for _, peer := range m.members {
 		live[peer.address] = true
 		if peer.region != m.region && now.Sub(peer.lastSent) < otherRegionInterval {
--- a/acaciapeer/members_test.go
+++ b/acaciapeer/members_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
 	"github.com/acaciaroute/acaciaroute/acaciaschedule"
 )
 
@@ -75,10 +76,15 @@
 	message := Message{
 		Process: "p", Started: 1, Sequence: 2, Region: "r", Version: 3,
 		Report: acaciaschedule.Report{
-			Running: map[string]int{"i": 1},
-			Waiting: map[string]map[int]int{"m": {0: 2}},
-			Heads:   map[string][]acaciaschedule.QueuePosition{"m": {5, 7}},
+			Loads: map[acaciaschedule.EndpointKey]acaciaschedule.EndpointLoad{
+				acaciaschedule.KeyOf("i"): {Running: 1, Prefill: 2000, Awaiting: 3},
+			},
+			Prompts:              []acaciaschedule.SentPrompt{{Endpoint: 7, Prompt: []acaciaprefix.Segment{{Prefix: 1 << 63, Tokens: 500}}}},
+			UnreachableEndpoints: []acaciaschedule.EndpointKey{9},
+			Waiting:              map[string]map[int]int{"m": {0: 2}},
+			Heads:                map[string][]acaciaschedule.QueuePosition{"m": {5, 7}},
 		},
+		Leaving: true, UsedComplete: true, StoreReadableMS: 4,
 		Used: map[string]float64{"club": 1.5}, CrashCounts: map[uint64]int{1 << 63: 1},
 	}
 	data, err := message.Encode()
--- a/acaciapeer/message.go
+++ b/acaciapeer/message.go
@@ -1,46 +1,153 @@
 package acaciapeer
 
 import (
-	"encoding/json"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
 	"github.com/acaciaroute/acaciaroute/acaciaschedule"
+	"github.com/acaciaroute/acaciaroute/acaciawire"
 )
 
-type (
-	// Message is what a process sends to all others many times a second.
-	Message struct {
-		Process string `json:"process"`
-		// Started identifies a run of the process: the wall-clock time of its start in
-		// nanoseconds.
-		Started int64 `json:"started"`
-		// Sequence increases with each message of a run.
-		Sequence uint64 `json:"sequence"`
-		Region   string `json:"region"`
-		// Version is the newest configuration version that the process has.
-		Version int64 `json:"version"`
-		// Report describes the process's requests.
-		acaciaschedule.Report
-		// Used is what each organisation has used through this process since it started.
-		Used map[string]float64 `json:"used,omitempty"`
-		// StoreReadableMS is for how many milliseconds the process has been able to
-		// read the store without interruption.
-		StoreReadableMS int64 `json:"store_ms,omitempty"`
-		// CrashCounts counts the endpoints that crashed while they ran a request, by
-		// the hash of the request's content.
-		CrashCounts map[uint64]int `json:"crashes,omitempty"`
-		// Leaving marks the last message of a run.
-		Leaving bool `json:"leaving,omitempty"`
-	}
-)
+// Message is what a process sends to all others many times a second.
+type Message struct {
+	Process string
+	// Started identifies a run of the process: the wall-clock time of its start in
+	// nanoseconds.
+	Started int64
+	// Sequence increases with each message of a run.
+	Sequence uint64
+	Region   string
+	// Version is the newest configuration version that the process has.
+	Version int64
+	// Report describes the process's requests.
+	acaciaschedule.Report
+	// Used is what organisations have used through this process since it started: all of
+	// them if UsedComplete is set, otherwise those whose use has changed.
+	Used         map[string]float64
+	UsedComplete bool
+	// StoreReadableMS is for how many milliseconds the process has been able to
+	// read the store without interruption.
+	StoreReadableMS int64
+	// CrashCounts counts the endpoints that crashed while they ran a request, by
+	// the hash of the request's content.
+	CrashCounts map[uint64]int
+	// Leaving marks the last message of a run.
+	Leaving bool
+}
 
-// Encode returns the JSON encoding of the message.
+// Encode returns the encoding of the message as an acaciawire.GatewayMessage.
 func (m Message) Encode() ([]byte, error) {
-	return json.Marshal(m)
+	wire := &acaciawire.GatewayMessage{
+		Process: m.Process, Started: uint64(m.Started), Sequence: m.Sequence, Region: m.Region, Version: m.Version,
+		Leaving: m.Leaving, StoreReadableMs: m.StoreReadableMS, Used: m.Used, UsedComplete: m.UsedComplete,
+	}
+	if len(m.CrashCounts) > 0 {
+		wire.CrashCounts = map[uint64]uint32{}
+		for content, count := range m.CrashCounts {
+			wire.CrashCounts[content] = uint32(count)
+		}
+	}
+	for key, load := range m.Loads {
+		wire.LoadEndpoints = append(wire.LoadEndpoints, uint32(key))
+		wire.LoadRunning = append(wire.LoadRunning, uint32(load.Running))
+		wire.LoadPrefill = append(wire.LoadPrefill, uint32(load.Prefill))
+		wire.LoadAwaiting = append(wire.LoadAwaiting, uint32(load.Awaiting))
+	}
+	for _, key := range m.UnreachableEndpoints {
+		wire.UnreachableEndpoints = append(wire.UnreachableEndpoints, uint32(key))
+	}
+	for service, ranks := range m.Waiting {
+		wire.Queues = append(wire.Queues, encodeQueue(service, ranks, m.Heads[service]))
+	}
+	for _, sent := range m.Prompts {
+		wire.Prompts = append(wire.Prompts, encodePrompt(sent))
+	}
+	return proto.Marshal(wire)
 }
 
-// Decode parses a message encoded by Encode.
+// Decode parses a message encoded by Encode. A list that is shorter than the one it belongs to
+// counts as filled up with zeros.
 func Decode(data []byte) (Message, error) {
-	var m Message
-	err := json.Unmarshal(data, &m)
-	return m, err
+	wire := &acaciawire.GatewayMessage{}
+	if err := proto.Unmarshal(data, wire); err != nil {
+		return Message{}, err
+	}
+	m := Message{
+		Process: wire.Process, Started: int64(wire.Started), Sequence: wire.Sequence, Region: wire.Region, Version: wire.Version,
+		Leaving: wire.Leaving, StoreReadableMS: wire.StoreReadableMs, Used: wire.Used, UsedComplete: wire.UsedComplete,
+		Report: acaciaschedule.Report{
+			Loads:   make(map[acaciaschedule.EndpointKey]acaciaschedule.EndpointLoad, len(wire.LoadEndpoints)),
+			Waiting: map[string]map[int]int{}, Heads: map[string][]acaciaschedule.QueuePosition{},
+		},
+	}
+	if len(wire.CrashCounts) > 0 {
+		m.CrashCounts = map[uint64]int{}
+		for content, count := range wire.CrashCounts {
+			m.CrashCounts[content] = int(count)
+		}
+	}
+	for i, key := range wire.LoadEndpoints {
+		m.Loads[acaciaschedule.EndpointKey(key)] = acaciaschedule.EndpointLoad{
+			Running: at(wire.LoadRunning, i), Prefill: at(wire.LoadPrefill, i), Awaiting: at(wire.LoadAwaiting, i),
+		}
+	}
+	for _, key := range wire.UnreachableEndpoints {
+		m.UnreachableEndpoints = append(m.UnreachableEndpoints, acaciaschedule.EndpointKey(key))
+	}
+	for _, queue := range wire.Queues {
+		m.Waiting[queue.Service], m.Heads[queue.Service] = decodeQueue(queue)
+	}
+	for _, sent := range wire.Prompts {
+		m.Prompts = append(m.Prompts, decodePrompt(sent))
+	}
+	return m, nil
+}
+
+func encodeQueue(service string, ranks map[int]int, heads []acaciaschedule.QueuePosition) *acaciawire.ServiceQueue {
+	queue := &acaciawire.ServiceQueue{Service: service}
+	for rank, count := range ranks {
+		queue.Ranks = append(queue.Ranks, int32(rank))
+		queue.Counts = append(queue.Counts, uint32(count))
+	}
+	for _, position := range heads {
+		queue.Heads = append(queue.Heads, int64(position))
+	}
+	return queue
+}
+
+func decodeQueue(queue *acaciawire.ServiceQueue) (map[int]int, []acaciaschedule.QueuePosition) {
+	ranks := make(map[int]int, len(queue.Ranks))
+	for i, rank := range queue.Ranks {
+		ranks[int(rank)] = at(queue.Counts, i)
+	}
+	heads := make([]acaciaschedule.QueuePosition, len(queue.Heads))
+	for i, position := range queue.Heads {
+		heads[i] = acaciaschedule.QueuePosition(position)
+	}
+	return ranks, heads
+}
+
+func encodePrompt(sent acaciaschedule.SentPrompt) *acaciawire.SentPrompt {
+	prompt := &acaciawire.SentPrompt{Endpoint: uint32(sent.Endpoint)}
+	for _, segment := range sent.Prompt {
+		prompt.Prefixes = append(prompt.Prefixes, segment.Prefix)
+		prompt.Tokens = append(prompt.Tokens, uint32(segment.Tokens))
+	}
+	return prompt
+}
+
+func decodePrompt(prompt *acaciawire.SentPrompt) acaciaschedule.SentPrompt {
+	sent := acaciaschedule.SentPrompt{Endpoint: acaciaschedule.EndpointKey(prompt.Endpoint)}
+	for i, prefix := range prompt.Prefixes {
+		sent.Prompt = append(sent.Prompt, acaciaprefix.Segment{Prefix: prefix, Tokens: at(prompt.Tokens, i)})
+	}
+	return sent
+}
+
+// at returns the count at an index, 0 if there is none.
+func at(counts []uint32, index int) int {
+	if index >= len(counts) {
+		return 0
+	}
+	return int(counts[index])
 }
--- a/acaciaschedule/peer.go
+++ b/acaciaschedule/peer.go
@@ -10,30 +10,50 @@
 )
 
 type (
+	// EndpointKey identifies an endpoint in reports, in fewer bytes than its ID.
+	EndpointKey uint32
+
+	// EndpointLoad is the load that one process puts on an endpoint.
+	EndpointLoad struct {
+		// Running is the number of its running requests.
+		Running int
+		// Prefill is the number of tokens that the endpoint has to prefill for them.
+		Prefill int
+		// Awaiting is the number of its requests that wait for the endpoint though others
+		// are free.
+		Awaiting int
+	}
+
+	// SentPrompt is a prompt that was sent to an endpoint.
+	SentPrompt struct {
+		Endpoint EndpointKey
+		Prompt   []acaciaprefix.Segment
+	}
+
 	// Report is what one process tells the others about its requests.
 	Report struct {
-		// Running is the number of its running requests per endpoint ID.
-		Running map[string]int `json:"running,omitempty"`
-		// Prefill is the number of tokens that each endpoint has to prefill for its requests.
-		Prefill map[string]int `json:"prefill,omitempty"`
-		// Awaiting is the number of its requests that wait for each endpoint though others are
-		// free.
-		Awaiting map[string]int `json:"awaiting,omitempty"`
-		// Prompts holds, per endpoint ID, the prompts sent there since the last report.
-		Prompts map[string][][]acaciaprefix.Segment `json:"prompts,omitempty"`
+		Loads map[EndpointKey]EndpointLoad
+		// Prompts holds the prompts sent since the last report.
+		Prompts []SentPrompt
 		// Waiting is the number of its waiting requests per service and rank.
-		Waiting map[string]map[int]int `json:"waiting,omitempty"`
-		// UnreachableEndpoints lists the IDs of the endpoints to which the process
-		// recently failed to connect.
-		UnreachableEndpoints []string `json:"down,omitempty"`
+		Waiting map[string]map[int]int
+		// UnreachableEndpoints lists the endpoints to which the process recently failed to
+		// connect.
+		UnreachableEndpoints []EndpointKey
 		// Heads holds the queue positions of its first waiting requests per service.
-		Heads map[string][]QueuePosition `json:"heads,omitempty"`
+		Heads map[string][]QueuePosition
 	}
 
 	// QueuePosition is a waiting request's position in the queue across all processes; the
 	// lowest goes first.
 	QueuePosition int64
 
+	// peerLoad is the load that another process puts on an endpoint, as last reported.
+	peerLoad struct {
+		endpoint *endpoint
+		EndpointLoad
+	}
+
 	// peerQueue is another process's queue for one service, as last reported.
 	peerQueue struct {
 		region     string
@@ -86,18 +106,14 @@
 	} else {
 		s.lastReports[process] = now
 	}
-	for id, e := range s.endpointsByID {
-		e.setPeerLoad(process, report.Running[id], report.Prefill[id], report.Awaiting[id])
-	}
-	for id, prompts := range report.Prompts {
-		if e := s.endpointsByID[id]; e != nil {
-			for _, prompt := range prompts {
-				s.serviceByEndpointID[id].recordPrompt(e, prompt)
-			}
+	s.setPeerLoads(process, report.Loads)
+	for _, sent := range report.Prompts {
+		if e := s.endpointsByKey[sent.Endpoint]; e != nil {
+			e.service.recordPrompt(e, sent.Prompt)
 		}
 	}
-	for _, id := range report.UnreachableEndpoints {
-		if e := s.endpointsByID[id]; e != nil && e.unreachableUntil.IsZero() {
+	for _, key := range report.UnreachableEndpoints {
+		if e := s.endpointsByKey[key]; e != nil && e.unreachableUntil.IsZero() {
 			e.suspendUntil(now.Add(peerReportedSuspension))
 		}
 	}
@@ -111,6 +127,31 @@
 	}
 }
 
+// KeyOf returns the key of an endpoint.
+func KeyOf(id string) EndpointKey {
+	return EndpointKey(xxhash.Sum64String(id))
+}
+
+// setPeerLoads replaces the load that another process puts on the endpoints.
+func (s *Scheduler) setPeerLoads(process string, loads map[EndpointKey]EndpointLoad) {
+	applied := s.peerLoads[process]
+	for _, load := range applied {
+		load.endpoint.addPeerLoad(load.EndpointLoad, -1)
+	}
+	applied = applied[:0]
+	for key, load := range loads {
+		if e := s.endpointsByKey[key]; e != nil {
+			e.addPeerLoad(load, 1)
+			applied = append(applied, peerLoad{e, load})
+		}
+	}
+	if len(applied) == 0 {
+		delete(s.peerLoads, process)
+		return
+	}
+	s.peerLoads[process] = applied
+}
+
 // expireReports removes processes whose last report is too old.
 func (s *Scheduler) expireReports(now time.Time) {
 	for process, reportedAt := range s.lastReports {
@@ -124,22 +165,16 @@
 // report only.
 func (s *Scheduler) BuildReport(now time.Time) Report {
 	report := Report{
-		Running: map[string]int{}, Prefill: map[string]int{}, Awaiting: map[string]int{}, Prompts: s.sentPrompts,
+		Loads: map[EndpointKey]EndpointLoad{}, Prompts: s.sentPrompts,
 		Waiting: map[string]map[int]int{}, Heads: map[string][]QueuePosition{},
 	}
-	s.sentPrompts = map[string][][]acaciaprefix.Segment{}
-	for id, e := range s.endpointsByID {
-		if e.ownRunning > 0 {
-			report.Running[id] = e.ownRunning
-		}
-		if e.awaiting > 0 {
-			report.Awaiting[id] = e.awaiting
-		}
-		if e.ownPrefill > 0 {
-			report.Prefill[id] = e.ownPrefill
+	s.sentPrompts = nil
+	for key, e := range s.endpointsByKey {
+		if load := (EndpointLoad{Running: e.ownRunning, Prefill: e.ownPrefill, Awaiting: e.awaiting}); load != (EndpointLoad{}) {
+			report.Loads[key] = load
 		}
 		if now.Before(e.unreachableUntil) {
-			report.UnreachableEndpoints = append(report.UnreachableEndpoints, id)
+			report.UnreachableEndpoints = append(report.UnreachableEndpoints, key)
 		}
 	}
 	for name, svc := range s.services {
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -17,27 +17,19 @@
 		removed bool
 		// ownRunning is how many requests of this process the endpoint runs.
 		ownRunning int
-		// peerRunning is how many requests it runs for each other process, peerRunningTotal
-		// their sum.
-		peerRunning      map[string]int
-		peerRunningTotal int
+		// peerLoad is the load of all other processes together.
+		peerLoad EndpointLoad
 
 		// unanswered holds this process's requests for which no byte of the response has
 		// arrived, the oldest first.
 		unanswered []*Request
 		// cache predicts the contents of the endpoint's prefix cache.
 		cache *acaciaprefix.Cache
-		// ownPrefill is how many tokens the endpoint has to prefill for unanswered, peerPrefill
-		// the same for each other process and peerPrefillTotal their sum.
-		ownPrefill       int
-		peerPrefill      map[string]int
-		peerPrefillTotal int
+		// ownPrefill is how many tokens the endpoint has to prefill for unanswered.
+		ownPrefill int
 		// awaiting is how many waiting requests of this process wait for a slot here though
-		// others are free, peerAwaiting the same for each other process and
-		// peerAwaitingTotal their sum.
-		awaiting          int
-		peerAwaiting      map[string]int
-		peerAwaitingTotal int
+		// others are free.
+		awaiting int
 
 		// holdTime is the moving average of how long a request holds a slot; zero if
 		// unknown.
@@ -81,7 +73,7 @@
 
 // running returns how many requests run at the endpoint, as far as this process knows.
 func (e *endpoint) running() int {
-	return e.ownRunning + e.peerRunningTotal
+	return e.ownRunning + e.peerLoad.Running
 }
 
 // completionInterval returns the mean time between two completions at a fully occupied
@@ -95,24 +87,11 @@
 	return e.completionInterval() * time.Duration(max(0, e.running()+1-e.info.Slots))
 }
 
-// setPeerLoad sets how many requests of another process the endpoint runs, how many tokens it
-// has to prefill for them, and how many await a slot there.
-func (e *endpoint) setPeerLoad(process string, running, prefill, awaiting int) {
-	e.peerRunningTotal += running - e.peerRunning[process]
-	e.peerPrefillTotal += prefill - e.peerPrefill[process]
-	e.peerAwaitingTotal += awaiting - e.peerAwaiting[process]
-	setOrDelete(e.peerAwaiting, process, awaiting)
-	setOrDelete(e.peerRunning, process, running)
-	setOrDelete(e.peerPrefill, process, prefill)
-}
-
-// setOrDelete sets the count of a process, or deletes it if it is zero.
-func setOrDelete(counts map[string]int, process string, count int) {
-	if count == 0 {
-		delete(counts, process)
-		return
-	}
-	counts[process] = count
+// addPeerLoad adds a load of another process, or removes it if sign is -1.
+func (e *endpoint) addPeerLoad(load EndpointLoad, sign int) {
+	e.peerLoad.Running += sign * load.Running
+	e.peerLoad.Prefill += sign * load.Prefill
+	e.peerLoad.Awaiting += sign * load.Awaiting
 }
 
 // freeSlots returns how many more requests the endpoint can be given.
@@ -206,7 +185,7 @@
 // awaitingOthers returns how many other requests wait for a slot at the endpoint though others
 // are free.
 func (e *endpoint) awaitingOthers(request *Request) int {
-	count := e.awaiting + e.peerAwaitingTotal
+	count := e.awaiting + e.peerLoad.Awaiting
 	if request.awaited == e {
 		count--
 	}
--- a/acaciaschedule/prompt.go
+++ b/acaciaschedule/prompt.go
@@ -20,7 +20,7 @@
 // byte of the request's response: the request's own and those of the unanswered requests
 // before it.
 func (e *endpoint) tokensToPrefill(request *Request) int {
-	return request.PromptTokens - e.cachedTokens(request) + e.ownPrefill + e.peerPrefillTotal
+	return request.PromptTokens - e.cachedTokens(request) + e.ownPrefill + e.peerLoad.Prefill
 }
 
 // prefillCost returns the time that prefilling the request's prompt at the endpoint adds to the
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -120,11 +120,14 @@
 		settings            Settings
 		services            map[string]*service
 		endpointsByID       map[string]*endpoint
+		endpointsByKey      map[EndpointKey]*endpoint
 		serviceByEndpointID map[string]*service
 		// lastReports holds the time of the last report of each other process.
 		lastReports map[string]time.Time
-		// sentPrompts holds, per endpoint ID, the prompts sent there since the last report.
-		sentPrompts map[string][][]acaciaprefix.Segment
+		// peerLoads holds the loads in the last report of each other process.
+		peerLoads map[string][]peerLoad
+		// sentPrompts holds the prompts sent since the last report.
+		sentPrompts []SentPrompt
 	}
 
 	// service is a group of endpoints and the requests that wait for them.
@@ -168,9 +171,10 @@
 		settings:            settings,
 		services:            map[string]*service{},
 		endpointsByID:       map[string]*endpoint{},
+		endpointsByKey:      map[EndpointKey]*endpoint{},
 		serviceByEndpointID: map[string]*service{},
 		lastReports:         map[string]time.Time{},
-		sentPrompts:         map[string][][]acaciaprefix.Segment{},
+		peerLoads:           map[string][]peerLoad{},
 	}
 }
 
@@ -193,8 +197,8 @@
 	}
 	s.removeEndpoint(change.ID)
 	svc := s.getOrCreateService(info.Service)
-	e := &endpoint{info: info, service: svc, cache: acaciaprefix.NewCache(0), peerRunning: map[string]int{}, peerPrefill: map[string]int{}, peerAwaiting: map[string]int{}}
-	s.endpointsByID[info.ID], s.serviceByEndpointID[info.ID] = e, svc
+	e := &endpoint{info: info, service: svc, cache: acaciaprefix.NewCache(0)}
+	s.endpointsByID[info.ID], s.endpointsByKey[KeyOf(info.ID)], s.serviceByEndpointID[info.ID] = e, e, svc
 	svc.endpoints[info.ID] = e
 	svc.endpointIDs = append(svc.endpointIDs, info.ID)
 	slices.Sort(svc.endpointIDs)
@@ -357,7 +361,7 @@
 	e.startPrefill(request)
 	if len(request.Prompt) > 0 {
 		svc.recordPrompt(e, request.Prompt)
-		s.sentPrompts[e.info.ID] = append(s.sentPrompts[e.info.ID], request.Prompt)
+		s.sentPrompts = append(s.sentPrompts, SentPrompt{KeyOf(e.info.ID), request.Prompt})
 	}
 	if request.Share > 0 {
 		svc.recentUse[request.Organisation] += request.Cost / request.Share
@@ -431,6 +435,7 @@
 	svc := s.serviceByEndpointID[id]
 	delete(svc.endpoints, id)
 	delete(s.endpointsByID, id)
+	delete(s.endpointsByKey, KeyOf(id))
 	delete(s.serviceByEndpointID, id)
 	svc.endpointIDs = slices.DeleteFunc(svc.endpointIDs, func(other string) bool { return other == id })
 }
--- a/acaciaschedule/scheduler_test.go
+++ b/acaciaschedule/scheduler_test.go
@@ -72,7 +72,7 @@
 func TestPeerReportCountsUntilItExpires(t *testing.T) {
 	s := newScheduler()
 	addEndpoint(s, "e", "a", 2)
-	s.ApplyReport("peer", "near", &Report{Running: map[string]int{"e": 2}}, atMillis(0))
+	s.ApplyReport("peer", "near", &Report{Loads: map[EndpointKey]EndpointLoad{KeyOf("e"): {Running: 2}}}, atMillis(0))
 	s.Enqueue(newRequest("r", 0, atMillis(0)))
 	assert.Equal(t, len(decidePlacements(s, atMillis(10))), 0)
 	assert.DeepEqual(t, decidePlacements(s, atMillis(0).Add(reportLifetime)), map[string]string{"r": "e"})
@@ -304,7 +304,7 @@
 	assert.Check(t, decisions[0].Endpoint == nil)
 	assert.Check(t, !s.Dequeue(r))
 	s.Release(r, atMillis(3))
-	assert.Equal(t, len(s.BuildReport(atMillis(0)).Running), 0)
+	assert.Equal(t, len(s.BuildReport(atMillis(0)).Loads), 0)
 }
 
 // An endpoint that restarts under the same ID must start with fresh state.
@@ -390,7 +390,7 @@
 	for waiting, want := range map[int]string{0: "far", 3: ""} {
 		s := newScheduler()
 		addEndpoint(s, "far", "c", 2)
-		s.ApplyReport("peer", "far", &Report{Running: map[string]int{"far": 1}, Waiting: map[string]map[int]int{"m": {1: waiting}}}, atMillis(0))
+		s.ApplyReport("peer", "far", &Report{Loads: map[EndpointKey]EndpointLoad{KeyOf("far"): {Running: 1}}, Waiting: map[string]map[int]int{"m": {1: waiting}}}, atMillis(0))
 		s.Enqueue(newRequest("r", 0, atMillis(1)))
 		assert.Equal(t, decidePlacements(s, atMillis(1))["r"], want)
 	}
