acaciaschedule: late requests wait behind all that can still be in time

Change: the rank of a late request comes after all ranks of those in time; it expects to wait behind all of them and is told to come back when that takes too long. A stream that has begun is never late in this sense.

--- a/acaciaschedule/peer.go
+++ b/acaciaschedule/peer.go
@@ -75,11 +75,9 @@
 	peerReportedSuspension = 300 * time.Millisecond
 	// maxHeads is how many of its first waiting requests per service a process reports.
 	maxHeads = 8
-	// positionBits is the width of a queue position without the rank. lateBit marks the
-	// requests that can no longer meet their objective; the lowest tieBreakBits distinguish
-	// requests with equal objectives.
+	// positionBits is the width of a queue position without the rank; the lowest tieBreakBits
+	// distinguish requests with equal objectives.
 	positionBits = 40
-	lateBit      = 1 << (positionBits - 1)
 	tieBreakBits = 8
 	// positionOffsetMillis is added to the time until the objective, so that the sum is
 	// positive even if the objective has passed.
@@ -87,14 +85,11 @@
 )
 
 // queuePosition returns the request's position in the queue across all processes: ordered
-// by rank, then requests that can still meet their objective, then by objective.
+// by rank, of which late requests have a higher one, then by objective.
 func (r *Request) queuePosition(now time.Time) QueuePosition {
-	remaining := min(max(r.Objective.Sub(now).Milliseconds()+positionOffsetMillis, 0), lateBit>>tieBreakBits-1)
+	remaining := min(max(r.Objective.Sub(now).Milliseconds()+positionOffsetMillis, 0), 1<<(positionBits-tieBreakBits)-1)
 	position := remaining<<tieBreakBits | int64(xxhash.Sum64String(r.ID)&(1<<tieBreakBits-1))
-	if r.late {
-		position |= lateBit
-	}
-	return QueuePosition(int64(r.effectiveRank())<<positionBits | position)
+	return QueuePosition(int64(r.queueRank())<<positionBits | position)
 }
 
 // ApplyReport applies the report of another process in a region; a nil report removes that
@@ -184,7 +179,7 @@
 		ranks := map[int]int{}
 		heads := make([]QueuePosition, 0, len(svc.waiting))
 		for _, request := range svc.waiting {
-			ranks[request.Rank]++
+			ranks[request.queueRank()]++
 			if !request.unplaceable {
 				heads = append(heads, request.queuePosition(now))
 			}
--- a/acaciaschedule/queue.go
+++ b/acaciaschedule/queue.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// lateRankOffset is added to the rank of requests that can no longer meet their objective;
+	// it is larger than all ranks.
+	lateRankOffset = 1 << 20
 	// maxWaitShare bounds the expected time from a request's arrival to its first byte, as a
 	// share of the time from its arrival to its deadline. A waiting request that is
 	// expected to take longer is rejected at once.
@@ -25,9 +28,10 @@
 	maxRetryAfterShare = 1.0 / 3
 )
 
-// sortWaiting sorts a service's waiting requests by rank, then those that can still meet
-// their objective, then the organisation that recently used least of its share, then by
-// objective.
+// sortWaiting sorts a service's waiting requests: first those that can still meet their
+// objective, then by rank, then the organisation that recently used least of its share, then by
+// objective. In a load peak, late requests of an urgent class would otherwise make those of all
+// other classes late, too.
 func (s *Scheduler) sortWaiting(svc *service, now time.Time) {
 	for _, request := range svc.waiting {
 		request.late = now.Add(svc.usualFirstByte(request)).After(request.Objective)
@@ -35,22 +39,23 @@
 	s.applyGuarantees(svc)
 	slices.SortStableFunc(svc.waiting, func(a, b *Request) int {
 		return cmp.Or(
-			cmp.Compare(a.effectiveRank(), b.effectiveRank()),
-			compareBool(a.late, b.late),
+			cmp.Compare(a.queueRank(), b.queueRank()),
 			cmp.Compare(svc.recentUseLevel(a), svc.recentUseLevel(b)),
 			a.Objective.Compare(b.Objective),
 		)
 	})
 }
 
-func compareBool(a, b bool) int {
+// queueRank returns the rank by which the request waits. Requests that can no longer meet their
+// objective come after all others, unless the caller has received part of the response.
+func (r *Request) queueRank() int {
 	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
+	case r.guaranteed:
+		return guaranteedRank
+	case r.late && !r.Started:
+		return r.Rank + lateRankOffset
 	}
-	return 1
+	return r.Rank
 }
 
 // recentUseLevel returns the recent use of the request's organisation in steps of
@@ -77,9 +82,9 @@
 	if slots == 0 {
 		return priorHoldTime
 	}
-	ahead := svc.countPeerWaiting(func(rank int) bool { return rank <= request.effectiveRank() })
+	ahead := svc.countPeerWaiting(func(rank int) bool { return rank <= request.queueRank() })
 	for _, other := range svc.waiting {
-		if other != request && other.effectiveRank() <= request.effectiveRank() {
+		if other != request && other.queueRank() <= request.queueRank() {
 			ahead++
 		}
 	}
--- a/acaciaschedule/queue_test.go
+++ b/acaciaschedule/queue_test.go
@@ -76,3 +76,26 @@
 	assert.Equal(t, len(decisions), 1)
 	assert.Check(t, decisions[0].Endpoint == nil)
 }
+
+// Load pattern: a peak leaves late requests of an urgent class. They must not make the requests
+// of a less urgent class late, too.
+func TestLateRequestYieldsToOnTimeRequestOfLessUrgentClass(t *testing.T) {
+	missed, fresh := newRequest("missed", 0, atMillis(0)), newRequest("fresh", 1, atMillis(950))
+	assert.Equal(t, placedWhenFreed(t, newRequest("first", 1, atMillis(0)), missed, fresh), "fresh")
+	missed, fresh = newRequest("missed", 0, atMillis(0)), newRequest("fresh", 1, atMillis(950))
+	missed.Started = true
+	assert.Equal(t, placedWhenFreed(t, newRequest("first", 1, atMillis(0)), missed, fresh), "missed", "a stream that has begun")
+}
+
+// A late request expects to wait for all requests that can still be in time, and is told to come
+// back as soon as that takes too long.
+func TestLateRequestExpectsToWaitBehindOnTimeRequests(t *testing.T) {
+	s := newScheduler()
+	addEndpoint(s, "e", "a", 1)
+	s.ApplyReport("peer", "near", &Report{Waiting: map[string]map[int]int{"m": {3: 10}}}, atMillis(0))
+	svc := s.services["m"]
+	request := newRequest("r", 0, atMillis(0))
+	onTime := svc.expectedWait(request, atMillis(0))
+	request.late = true
+	assert.Equal(t, svc.expectedWait(request, atMillis(0)), 11*onTime)
+}
--- a/acaciaschedule/share.go
+++ b/acaciaschedule/share.go
@@ -65,11 +65,3 @@
 		request.guaranteed = true
 	}
 }
-
-// effectiveRank returns the rank by which the request waits.
-func (r *Request) effectiveRank() int {
-	if r.guaranteed {
-		return guaranteedRank
-	}
-	return r.Rank
-}
