--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -48,6 +48,9 @@
 	lastEventID  string
 	// eventCount is the number of stream events that the caller has received.
 	eventCount int
+	// fieldEvents is the number of events with any field; the others are empty or comments,
+	// which an endpoint may send while it is stalled.
+	fieldEvents int
 	// lastEventAt is when the last event arrived, longPauses how many pauses between events
 	// were longer than the route allows.
 	lastEventAt time.Time
@@ -80,6 +83,11 @@
 			x.failWithoutEndpoint(ctx, &decision, err)
 			return
 		}
+		if decision.Expired(time.Now()) {
+			// The process was suspended meanwhile. Asking again costs nothing.
+			x.releaseSlot(schedRequest, 0)
+			continue
+		}
 		x.endpoint = decision.Endpoint
 		event := x.newEvent(acaciaevent.RequestDispatched)
 		event.Inputs = x.eventInputs(&decision)
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -73,10 +73,13 @@
 	for {
 		n, err := response.Read(buffer)
 		pending = append(pending, buffer[:n]...)
+		progress := x.fieldEvents
 		complete, rest, eventErr := x.splitEvents(pending)
-		if len(complete) > 0 {
+		if x.fieldEvents > progress {
 			wd.resetSilenceTimer(max(minEventSilenceTimeout, gapFactor*x.route.MaxGap))
 			x.observePause()
+		}
+		if len(complete) > 0 {
 			x.sendStreamHeader(response)
 			if _, err := x.w.Write(complete); err != nil {
 				return outcomeCallerGone, 0, err
@@ -166,6 +169,9 @@
 		if err := x.checkEventOrder(event); err != nil {
 			return data[:end], nil, err
 		}
+		if hasField(event) {
+			x.fieldEvents++
+		}
 		end += length + 2
 	}
 	if len(data)-end > maxEventBytes {
@@ -174,6 +180,16 @@
 	return data[:end], data[end:], nil
 }
 
+// hasField reports whether the event consists of more than empty lines and comments.
+func hasField(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // checkEventOrder checks that the ID of an event directly follows that of the last event, and
 // counts the event.
 func (x *exchange) checkEventOrder(event []byte) error {
--- a/acaciagateway/stream_test.go
+++ b/acaciagateway/stream_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -100,3 +101,49 @@
 	assert.NilError(t, r.err)
 	assert.Equal(t, r.body, "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\nid: 4\ndata: x4\n\n")
 }
+
+// A stalled endpoint may send a byte, or a comment, now and then. That is no progress: the stream
+// must resume on another endpoint.
+func TestDrippingStreamResumesOnAnotherEndpoint(t *testing.T) {
+	for name, drip := range map[string]string{"comments": ": still here\n\n", "bytes of one comment": ":", "empty events": "\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			var starts atomic.Int64
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
+				if starts.Add(1) == 2 {
+					writeEvents(w, 3, 4)
+					return
+				}
+				writeEvents(w, 1, 2)
+				for r.Context().Err() == nil {
+					_, _ = io.WriteString(w, drip)
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			b := newTestbed(t, handler, handler)
+			r := b.send(http.MethodPost, "/stream/", "r-1", "")
+			assert.NilError(t, r.err)
+			assert.Equal(t, starts.Load(), int64(2))
+			assert.Check(t, strings.HasSuffix(r.body, "id: 3\ndata: x3\n\nid: 4\ndata: x4\n\n"), "body %q", r.body)
+		})
+	}
+}
+
+// A stream that is slow but never silent for too long must not be moved.
+func TestSlowStreamIsNotMoved(t *testing.T) {
+	var starts atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		starts.Add(1)
+		acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
+		for i := 1; i <= 4; i++ {
+			writeEvents(w, i, i)
+			time.Sleep(minEventSilenceTimeout / 3)
+		}
+	}
+	b := newTestbed(t, handler, handler)
+	r := b.send(http.MethodPost, "/stream/", "r-1", "")
+	assert.NilError(t, r.err)
+	assert.Equal(t, strings.Count(r.body, "data:"), 4)
+	assert.Equal(t, starts.Load(), int64(1))
+}
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -87,6 +87,8 @@
 		Request *Request
 		// Endpoint is where the request runs; nil if it is rejected.
 		Endpoint *acaciasite.Endpoint
+		// DecidedAt is the time of the decision.
+		DecidedAt time.Time
 		// RetryAfter is the delay after which the caller of a rejected request should retry.
 		RetryAfter time.Duration
 		// Inputs are the values on which the decision was based.
@@ -160,6 +162,8 @@
 )
 
 const (
+	// decisionLifetime is how long a decision may be carried out.
+	decisionLifetime = time.Second
 	// minMoveSpeedup is how many times faster another endpoint must be for a stream to be
 	// moved there.
 	minMoveSpeedup = 1.8
@@ -205,6 +209,13 @@
 	return true
 }
 
+// Expired reports whether so much time has passed since the decision that its endpoint may have
+// left. It compares the wall clock, too: the monotonic clock stops while the machine is suspended.
+func (d *Decision) Expired(now time.Time) bool {
+	age := max(now.Sub(d.DecidedAt), now.Round(0).Sub(d.DecidedAt.Round(0)))
+	return age >= decisionLifetime
+}
+
 // Enqueue adds a request to the queue of its service, on which DecideWaiting decides.
 func (s *Scheduler) Enqueue(request *Request) {
 	svc := s.getOrCreateService(request.Service)
@@ -338,12 +349,12 @@
 			inputs := s.decisionInputs(svc, request, now)
 			inputs.ExpectedFirstByte = svc.expectedFirstByte(e, request)
 			info := e.info
-			decisions = append(decisions, Decision{Request: request, Inputs: inputs, Endpoint: &info})
+			decisions = append(decisions, Decision{Request: request, DecidedAt: now, Inputs: inputs, Endpoint: &info})
 			s.assign(svc, e, request, now)
 			free--
 		case !now.Before(request.Deadline) || svc.waitsTooLong(request, now):
 			request.await(nil)
-			decisions = append(decisions, Decision{Request: request, RetryAfter: s.retryAfter(svc, request, now), Inputs: s.decisionInputs(svc, request, now)})
+			decisions = append(decisions, Decision{Request: request, DecidedAt: now, RetryAfter: s.retryAfter(svc, request, now), Inputs: s.decisionInputs(svc, request, now)})
 		default:
 			kept = append(kept, request)
 		}
--- a/acaciaschedule/scheduler_test.go
+++ b/acaciaschedule/scheduler_test.go
@@ -395,3 +395,26 @@
 		assert.Equal(t, decidePlacements(s, atMillis(1))["r"], want)
 	}
 }
+
+// A process that is suspended between a decision and the call must not act on it: the endpoint
+// may have left. While the machine itself is suspended, the monotonic clock stands still.
+func TestDecisionExpires(t *testing.T) {
+	decidedAt := time.Now()
+	for name, test := range map[string]struct {
+		now     time.Time
+		expired bool
+	}{
+		"at once":                    {decidedAt, false},
+		"just before":                {decidedAt.Add(decisionLifetime - time.Millisecond), false},
+		"process suspended":          {decidedAt.Add(decisionLifetime), true},
+		"machine suspended":          {decidedAt.Round(0).Add(5 * time.Second), true},
+		"time of day set back":       {decidedAt.Round(0).Add(-5 * time.Second), false},
+		"set back, then suspended":   {decidedAt.Add(5 * time.Second), true},
+		"time of day set forward":    {decidedAt.Round(0).Add(time.Hour), true},
+		"monotonic clock went on":    {decidedAt.Add(2 * time.Second), true},
+		"both clocks a little later": {decidedAt.Add(10 * time.Millisecond), false},
+	} {
+		decision := Decision{DecidedAt: decidedAt}
+		assert.Equal(t, decision.Expired(test.now), test.expired, name)
+	}
+}
--- a/acaciaupstream/call.go
+++ b/acaciaupstream/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -58,6 +59,8 @@
 	// maxResponsesPerCall is how many responses a call reads to find its own, which includes
 	// interim (1xx) responses and responses to other requests.
 	maxResponsesPerCall = 3
+	// maxResponseHeaderBytes bounds the header of a response.
+	maxResponseHeaderBytes = 256 << 10
 	// maxDiscardedBytes is the most bytes of a response body that are read and discarded.
 	maxDiscardedBytes = 1 << 20
 	// maxSynchronousBodyBytes is the largest request body that is written before the response is
@@ -66,7 +69,10 @@
 	headerKeepAlive         = "Keep-Alive"
 )
 
-var errMismatchedResponses = errors.New("the responses on the connection belong to other requests")
+var (
+	errMismatchedResponses = errors.New("the responses on the connection belong to other requests")
+	errBodyTooLong         = errors.New("the body to discard is too long")
+)
 
 // Error implements error.
 func (e *Error) Error() string {
@@ -155,10 +161,12 @@
 // readHeader reads responses until one belongs to the request.
 func (r *Response) readHeader(call Call) error {
 	for range maxResponsesPerCall {
+		r.connection.limit.N = maxResponseHeaderBytes
 		response, err := http.ReadResponse(r.connection.reader, &http.Request{Method: call.Method})
 		if err != nil {
 			return err
 		}
+		r.connection.limit.N = math.MaxInt64
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -167,7 +175,7 @@
 			r.Status, r.Header, r.Length = response.StatusCode, response.Header, response.ContentLength
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes)); err != nil {
+		if err := discard(response.Body); err != nil {
 			return err
 		}
 	}
@@ -191,6 +199,15 @@
 
 // Drain reads the rest of a short body, so that the connection can be reused.
 func (r *Response) Drain() error {
-	_, err := io.Copy(io.Discard, io.LimitReader(r, maxDiscardedBytes))
+	return discard(r)
+}
+
+// discard reads a body to its end; a longer one than maxDiscardedBytes is an error, because
+// what follows in it is no response.
+func discard(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes))
+	if err == nil && n == maxDiscardedBytes {
+		return errBodyTooLong
+	}
 	return err
 }
--- a/acaciaupstream/pool.go
+++ b/acaciaupstream/pool.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -26,7 +28,10 @@
 	connection struct {
 		net.Conn
 		address string
-		reader  *bufio.Reader
+		// reader reads from limit, which ends the input while headers are read, before an
+		// endpoint that sends one without end has used up the memory.
+		reader *bufio.Reader
+		limit  *io.LimitedReader
 		// usableUntil is the time after which an idle connection is not reused, because
 		// the endpoint may close it.
 		usableUntil time.Time
@@ -120,7 +125,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	return newConnection(conn, address), nil
+}
+
+func newConnection(conn net.Conn, address string) *connection {
+	limit := &io.LimitedReader{R: conn, N: math.MaxInt64}
+	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
 }
 
 // popIdle removes and returns the idle connection to an address that was used last, nil if
@@ -186,6 +196,6 @@
 	if err != nil {
 		return false
 	}
-	p.put(&connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, 0)
+	p.put(newConnection(conn, address), 0)
 	return true
 }
