--- /dev/null
+++ b/acaciagateway/stop_test.go
@@ -0,0 +1,67 @@
+package acaciagateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
+)
+
+// A planned stop under load must not cut a request that the gateway has accepted, over new
+// connections or over open ones. Once it accepts no connections, callers are refused by the
+// system, and know that nothing has run.
+func TestStopUnderLoadAnswersEveryAcceptedRequest(t *testing.T) {
+	const callers = 40
+	b := newTestbed(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		writeResponse(w, r, "body")
+	})
+	var (
+		answered atomic.Int64
+		cut      sync.Map
+		running  sync.WaitGroup
+	)
+	for caller := range callers {
+		running.Go(func() {
+			// Half of the callers open a connection for each request.
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: caller%2 == 0}}
+			for i := 0; ; i++ {
+				// A body without GetBody is never sent again by the client itself.
+				request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, b.url+"/unsafe/", struct{ *strings.Reader }{strings.NewReader("x")})
+				assert.Check(t, err)
+				request.ContentLength = 1
+				acaciaplatformstandin.SetCallerHeaders(request, fmt.Sprintf("r-%d-%d", caller, i))
+				response, err := client.Do(request)
+				switch {
+				case errors.Is(err, syscall.ECONNREFUSED):
+					return
+				case err != nil:
+					cut.Store(err.Error(), true)
+					return
+				}
+				answered.Add(1)
+				_ = response.Body.Close()
+			}
+		})
+	}
+	waitFor(t, func() bool { return answered.Load() > callers })
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	assert.NilError(t, b.gateway.Close(ctx))
+	running.Wait()
+	cut.Range(func(reason, _ any) bool {
+		t.Errorf("a request was cut: %s", reason)
+		return true
+	})
+	t.Logf("answered %d", answered.Load())
+}
