acaciaschedule: bound what is remembered of prompts, await no other region's endpoint

Found on reading the change: a caller that states a huge size would have made a gateway remember prompts without bound (TestRememberedPromptsAreBounded failed: 1,024 of 1,024 were kept), and a request could wait for a slot in another region, of which it hears late (TestNoRequestAwaitsEndpointOfAnotherRegion).

Trial, not taken: gateways tell each other the speeds and pauses that they observe, so that each knows all endpoints. With one view all gateways choose the same endpoints.

--- a/acaciaprefix/cache.go
+++ b/acaciaprefix/cache.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// Trim evicts the least recently used prefixes beyond a number of entries.
+func (c *Cache) Trim(maxEntries int) {
+	for len(c.entries) > maxEntries {
+		c.evict(c.recency.Back())
+	}
+}
+
 // Remove records that the engine has evicted a prefix from its cache.
 func (c *Cache) Remove(prefix uint64) {
 	if element, ok := c.entries[prefix]; ok {
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -100,11 +100,11 @@
 		return 0
 	}
 	slots := e.info.Slots
-	switch region := s.settings.Regions[e.info.DataCentre]; {
-	case region != s.settings.Regions[s.settings.DataCentre]:
+	switch {
+	case s.inOtherRegion(e):
 		// What runs in another region is known late. While requests wait there, its slots
 		// are taken before this process hears that they are free.
-		if e.service.regionWaiting[region] > 0 {
+		if e.service.regionWaiting[s.settings.Regions[e.info.DataCentre]] > 0 {
 			return 0
 		}
 	case e.completionInterval() <= maxPrefetchInterval:
@@ -113,6 +113,11 @@
 	return max(0, slots-e.running())
 }
 
+// inOtherRegion reports whether the endpoint is in another region than this process.
+func (s *Scheduler) inOtherRegion(e *endpoint) bool {
+	return s.settings.Regions[e.info.DataCentre] != s.settings.Regions[s.settings.DataCentre]
+}
+
 // usable reports whether the endpoint is listed and not draining.
 func (e *endpoint) usable() bool {
 	return !e.removed && !e.info.Draining
@@ -123,15 +128,15 @@
 	switch {
 	case e.info.DataCentre == s.settings.DataCentre:
 		return 0
-	case s.settings.Regions[e.info.DataCentre] == s.settings.Regions[s.settings.DataCentre]:
-		return otherDataCentrePenalty
+	case s.inOtherRegion(e):
+		return otherRegionPenalty
 	}
-	return otherRegionPenalty
+	return otherDataCentrePenalty
 }
 
 // chooseEndpoint returns the endpoint with a free slot that is expected to serve the request
-// best. It returns nil if there is none, and also if it is better to wait for a slot at another
-// endpoint, where the request can still meet its objective; awaited is that endpoint.
+// best. It returns nil if there is none, and also if it is better to wait for a slot at an
+// occupied endpoint; awaited is that endpoint.
 func (s *Scheduler) chooseEndpoint(svc *service, request *Request, now time.Time) (chosen, awaited *endpoint) {
 	var free, occupied candidate
 	waitingPerEndpoint := svc.waitingPerEndpoint(request)
@@ -145,6 +150,9 @@
 			free.improve(e, s.expectedCost(svc, e, request, e.queueingDelay(), now)+prefillCost+svc.queueWait(e, e.awaitingOthers(request)))
 			continue
 		}
+		if s.inOtherRegion(e) {
+			continue
+		}
 		occupied.improve(e, s.expectedCost(svc, e, request, svc.queueWait(e, 1+e.awaitingOthers(request)), now)+prefillCost)
 	}
 	if request.Started || free.endpoint == nil || occupied.endpoint == nil || free.cost <= occupied.cost {
@@ -160,9 +168,9 @@
 	}
 }
 
-// expectedCost returns the expected time to the first byte at the endpoint, of which the request
-// waits slotWait for a slot, here or there, and what the risks and the distance add to it. Being late costs the
-// request its objective.
+// expectedCost returns the expected time to the first byte at the endpoint, which includes
+// slotWait for a slot, and what the risks and the distance add to it. Being late costs the request
+// its objective.
 func (s *Scheduler) expectedCost(svc *service, e *endpoint, request *Request, slotWait time.Duration, now time.Time) time.Duration {
 	expected := slotWait + time.Duration(float64(svc.expectedFirstByte(e, request))*e.failureFactor()*svc.silencePenalty(e, now)) + s.distancePenalty(e)
 	if request.late || now.Add(expected).After(request.Objective) {
--- a/acaciaschedule/prompt.go
+++ b/acaciaschedule/prompt.go
@@ -10,6 +10,9 @@
 // engine prefills only the part of a prompt that it does not have in its prefix cache, so the
 // processes tell each other which prompts they have sent where.
 
+// maxCachedSegments bounds the memory used for one endpoint, whatever sizes callers state.
+const maxCachedSegments = 512
+
 // cachedTokens returns how many tokens of the request's prompt the endpoint is expected to
 // have in its prefix cache.
 func (e *endpoint) cachedTokens(request *Request) int {
@@ -63,6 +66,7 @@
 	svc.observeRequestSize(acaciaprefix.CountTokens(prompt))
 	e.cache.SetCapacity(e.info.Slots * svc.largestRequest)
 	e.cache.Add(prompt)
+	e.cache.Trim(maxCachedSegments)
 }
 
 // observeRequestSize keeps the size of the largest request of the service. An engine has
--- a/acaciaschedule/prompt_test.go
+++ b/acaciaschedule/prompt_test.go
@@ -131,3 +131,34 @@
 		assert.Equal(t, decidePlacements(s, atMillis(2))["short"], "e2", name)
 	}
 }
+
+// A caller that states a huge size must not make the process remember prompts without bound.
+func TestRememberedPromptsAreBounded(t *testing.T) {
+	s := newScheduler()
+	addEndpoint(s, "e", "a", 4)
+	huge := newPromptRequest("huge", 0, atMillis(0))
+	huge.OutputTokens = 1 << 40
+	serve(t, s, huge, atMillis(0), 10*time.Millisecond)
+	e := s.endpointsByID["e"]
+	for i := range 2 * maxCachedSegments {
+		e.service.recordPrompt(e, newPromptRequest("r", uint64(i), atMillis(i)).Prompt)
+	}
+	remembered := 0
+	for i := range 2 * maxCachedSegments {
+		if e.cachedTokens(newPromptRequest("r", uint64(i), atMillis(i))) > 0 {
+			remembered++
+		}
+	}
+	assert.Check(t, remembered > 0 && remembered <= maxCachedSegments, "%d prompts are remembered", remembered)
+}
+
+// A slot of another region is not worth waiting for: news of it is old.
+func TestNoRequestAwaitsEndpointOfAnotherRegion(t *testing.T) {
+	s := newScheduler()
+	addEndpoint(s, "far", "c", 1)
+	serve(t, s, newPromptRequest("first", 7, atMillis(0)), atMillis(0), 50*time.Millisecond)
+	s.Enqueue(newPromptRequest("running", 7, atMillis(100)))
+	assert.Equal(t, decidePlacements(s, atMillis(100))["running"], "far")
+	addEndpoint(s, "near", "a", 1)
+	assert.Equal(t, serve(t, s, newPromptRequest("second", 7, atMillis(101)), atMillis(101), 50*time.Millisecond), "near")
+}
