--- a/acaciaschedule/prompt_test.go
+++ b/acaciaschedule/prompt_test.go
@@ -152,13 +152,28 @@
 	assert.Check(t, remembered > 0 && remembered <= maxCachedSegments, "%d prompts are remembered", remembered)
 }
 
-// A slot of another region is not worth waiting for: news of it is old.
+// A slot of another region is not awaited, even if waiting for it would be better by what is known
+// of it: news of it is old.
 func TestNoRequestAwaitsEndpointOfAnotherRegion(t *testing.T) {
-	s := newScheduler()
-	addEndpoint(s, "far", "c", 1)
-	serve(t, s, newPromptRequest("first", 7, atMillis(0)), atMillis(0), 50*time.Millisecond)
-	s.Enqueue(newPromptRequest("running", 7, atMillis(100)))
-	assert.Equal(t, decidePlacements(s, atMillis(100))["running"], "far")
-	addEndpoint(s, "near", "a", 1)
-	assert.Equal(t, serve(t, s, newPromptRequest("second", 7, atMillis(101)), atMillis(101), 50*time.Millisecond), "near")
+	for home, want := range map[string]string{"c": "near", "b": ""} {
+		s := newScheduler()
+		addEndpoint(s, "home", home, 1)
+		newLongRequest := func(id string, ms int) *Request {
+			r := newPromptRequest(id, 7, atMillis(ms))
+			r.PromptTokens = 5 * sharedTokens
+			r.Prompt = acaciaprefix.ChainSegments("model", []uint64{7}, []int{r.PromptTokens})
+			return r
+		}
+		first := newLongRequest("first", 0)
+		s.Enqueue(first)
+		assert.Equal(t, decidePlacements(s, atMillis(0))["first"], "home")
+		s.RecordFirstByte(first, atMillis(1500))
+		s.Release(first, atMillis(1600))
+		s.endpointsByID["home"].holdTime = 100 * time.Millisecond
+		s.Enqueue(newLongRequest("running", 2000))
+		assert.Equal(t, decidePlacements(s, atMillis(2000))["running"], "home")
+		addEndpoint(s, "near", "a", 1)
+		s.Enqueue(newLongRequest("second", 2001))
+		assert.Equal(t, decidePlacements(s, atMillis(2001))["second"], want, "home in %s", home)
+	}
 }
