--- /dev/null
+++ b/acaciaschedule/request.go
@@ -0,0 +1,82 @@
+package acaciaschedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
+)
+
+// Request is a request for a slot at one of a service's endpoints.
+type Request struct {
+	ID           string
+	Service      string
+	Class        string
+	Organisation string
+	// Share is what the organisation may use per second, in the units of Cost.
+	Share float64
+	// Cost is what the request counts against the organisation's share.
+	Cost float64
+	// Rank is the scheduling rank of the request; a lower rank is more urgent.
+	Rank         int
+	PromptTokens int
+	// OutputTokens is the largest number of tokens of the response.
+	OutputTokens int
+	// Prompt holds the segments of the prompt that other requests may share, in order.
+	Prompt  []acaciaprefix.Segment
+	Arrived time.Time
+	// Objective is when the first byte of the response is due.
+	Objective time.Time
+	// Deadline is when the caller gives up.
+	Deadline time.Time
+	// Started reports whether the caller has received part of the response. The request
+	// then takes the first slot that it can get, and is rejected only at its deadline.
+	Started bool
+	// ExcludedEndpoints lists the IDs of endpoints that must not get the request
+	// again.
+	ExcludedEndpoints []string
+	// AllowedEndpoints, if not empty, lists the IDs of the only endpoints that
+	// may get the request.
+	AllowedEndpoints []string
+
+	// late reports whether the request can no longer meet its objective.
+	late bool
+	// guaranteed reports whether the request waits on its class's guaranteed share.
+	guaranteed bool
+	// unplaceable reports whether there were free slots at the last decision but
+	// none at an endpoint that may run the request.
+	unplaceable bool
+	// awaited is the endpoint whose slot the request waits for though others are free; nil
+	// if it takes any.
+	awaited *endpoint
+	// endpoint is where the request holds a slot, nil without one; placedAt is when it
+	// was assigned and occupancy the endpoint's load just before.
+	endpoint  *endpoint
+	service   *service
+	placedAt  time.Time
+	occupancy float64
+	// mostCachedTokens is the most tokens of the prompt that an endpoint had in its
+	// cache when the request was enqueued.
+	mostCachedTokens int
+	// uncachedTokens is the part of the prompt that the endpoint prefills, and
+	// prefillTokens what it prefills until the first byte, as expected when the slot
+	// was assigned.
+	uncachedTokens int
+	prefillTokens  int
+}
+
+// await sets the endpoint whose slot the request waits for; nil for any.
+func (r *Request) await(e *endpoint) {
+	if r.awaited != nil {
+		r.awaited.awaiting--
+	}
+	r.awaited = e
+	if e != nil {
+		e.awaiting++
+	}
+}
+
+// excludes reports whether the endpoint must not run the request.
+func (r *Request) excludes(id string) bool {
+	return slices.Contains(r.ExcludedEndpoints, id) || len(r.AllowedEndpoints) > 0 && !slices.Contains(r.AllowedEndpoints, id)
+}
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -24,98 +24,6 @@
 		Random func() float64
 	}
 
-	// Request is a request for a slot at one of a service's endpoints.
-	Request struct {
-		ID           string
-		Service      string
-		Class        string
-		Organisation string
-		// Share is what the organisation may use per second, in the units of Cost.
-		Share float64
-		// Cost is what the request counts against the organisation's share.
-		Cost float64
-		// Rank is the scheduling rank of the request; a lower rank is more urgent.
-		Rank         int
-		PromptTokens int
-		// OutputTokens is the largest number of tokens of the response.
-		OutputTokens int
-		// Prompt holds the segments of the prompt that other requests may share, in order.
-		Prompt  []acaciaprefix.Segment
-		Arrived time.Time
-		// Objective is when the first byte of the response is due.
-		Objective time.Time
-		// Deadline is when the caller gives up.
-		Deadline time.Time
-		// Started reports whether the caller has received part of the response. The request
-		// then takes the first slot that it can get, and is rejected only at its deadline.
-		Started bool
-		// ExcludedEndpoints lists the IDs of endpoints that must not get the request
-		// again.
-		ExcludedEndpoints []string
-		// AllowedEndpoints, if not empty, lists the IDs of the only endpoints that
-		// may get the request.
-		AllowedEndpoints []string
-
-		// late reports whether the request can no longer meet its objective.
-		late bool
-		// guaranteed reports whether the request waits on its class's guaranteed share.
-		guaranteed bool
-		// unplaceable reports whether there were free slots at the last decision but
-		// none at an endpoint that may run the request.
-		unplaceable bool
-		// awaited is the endpoint whose slot the request waits for though others are free; nil
-		// if it takes any.
-		awaited *endpoint
-		// endpoint is where the request holds a slot, nil without one; placedAt is when it
-		// was assigned and occupancy the endpoint's load just before.
-		endpoint  *endpoint
-		service   *service
-		placedAt  time.Time
-		occupancy float64
-		// mostCachedTokens is the most tokens of the prompt that an endpoint had in its
-		// cache when the request was enqueued.
-		mostCachedTokens int
-		// uncachedTokens is the part of the prompt that the endpoint prefills, and
-		// prefillTokens what it prefills until the first byte, as expected when the slot
-		// was assigned.
-		uncachedTokens int
-		prefillTokens  int
-	}
-
-	// Decision is the outcome for a waiting request.
-	Decision struct {
-		Request *Request
-		// Endpoint is where the request runs; nil if it is rejected.
-		Endpoint *acaciasite.Endpoint
-		// DecidedAt is the time of the decision.
-		DecidedAt time.Time
-		// RetryAfter is the delay after which the caller of a rejected request should retry.
-		RetryAfter time.Duration
-		// Inputs are the values on which the decision was based.
-		Inputs Inputs
-	}
-
-	// Inputs are the values on which a decision was based.
-	Inputs struct {
-		// Endpoints is the number of usable endpoints of the service, Free the number of
-		// their free slots.
-		Endpoints int
-		Free      int
-		// Waiting is the number of requests that waited in this process, PeersWaiting in
-		// the others.
-		Waiting      int
-		PeersWaiting int
-		// ExpectedWait is the expected wait for a slot, UsualFirstByte the usual
-		// time from there to the first byte of the response.
-		ExpectedWait   time.Duration
-		UsualFirstByte time.Duration
-		// ExpectedFirstByte is the expected time to the first byte at the chosen
-		// endpoint.
-		ExpectedFirstByte time.Duration
-		// OldestReport is the age of the oldest report in use of another process.
-		OldestReport time.Duration
-	}
-
 	// Scheduler assigns the waiting requests of one process to endpoints. It is not safe
 	// for concurrent use.
 	Scheduler struct {
@@ -162,8 +70,6 @@
 )
 
 const (
-	// decisionLifetime is how long a decision may be carried out.
-	decisionLifetime = time.Second
 	// minMoveSpeedup is how many times faster another endpoint must be for a stream to be
 	// moved there.
 	minMoveSpeedup = 1.8
@@ -209,13 +115,6 @@
 	return true
 }
 
-// Expired reports whether so much time has passed since the decision that its endpoint may have
-// left. It compares the wall clock, too: the monotonic clock stops while the machine is suspended.
-func (d *Decision) Expired(now time.Time) bool {
-	age := max(now.Sub(d.DecidedAt), now.Round(0).Sub(d.DecidedAt.Round(0)))
-	return age >= decisionLifetime
-}
-
 // Enqueue adds a request to the queue of its service, on which DecideWaiting decides.
 func (s *Scheduler) Enqueue(request *Request) {
 	svc := s.getOrCreateService(request.Service)
@@ -307,78 +206,6 @@
 	request.endpoint = nil
 }
 
-// DecideWaiting decides on the waiting requests. Those in the returned decisions
-// have left the queue.
-func (s *Scheduler) DecideWaiting(now time.Time) []Decision {
-	s.expireReports(now)
-	var decisions []Decision
-	for _, svc := range s.services {
-		if len(svc.waiting) > 0 {
-			decisions = append(decisions, s.decideService(svc, now)...)
-		}
-	}
-	return decisions
-}
-
-// decideService decides on the waiting requests of one service.
-func (s *Scheduler) decideService(svc *service, now time.Time) []Decision {
-	svc.decayRecentUse(now)
-	s.sortWaiting(svc, now)
-	var decisions []Decision
-	kept := svc.waiting[:0:0]
-	free, blocked := s.freeSlotsOfService(svc, now), 0
-	queue := svc.waiting
-	for i, request := range queue {
-		var e *endpoint
-		// A slot that other processes also see as free goes to the request that is first
-		// across all processes. Requests for which no free slot is suitable do not count as
-		// waiting for one.
-		request.unplaceable = false
-		if blocked+svc.countPeerAhead(request, now) < free {
-			var awaited *endpoint
-			e, awaited = s.chooseEndpoint(svc, request, now)
-			request.unplaceable = e == nil
-			request.await(awaited)
-		} else {
-			request.await(nil)
-			blocked++
-		}
-		svc.waiting = append(slices.Clone(kept), queue[i:]...)
-		switch {
-		case e != nil:
-			inputs := s.decisionInputs(svc, request, now)
-			inputs.ExpectedFirstByte = svc.expectedFirstByte(e, request)
-			info := e.info
-			decisions = append(decisions, Decision{Request: request, DecidedAt: now, Inputs: inputs, Endpoint: &info})
-			s.assign(svc, e, request, now)
-			free--
-		case !now.Before(request.Deadline) || svc.waitsTooLong(request, now):
-			request.await(nil)
-			decisions = append(decisions, Decision{Request: request, DecidedAt: now, RetryAfter: s.retryAfter(svc, request, now), Inputs: s.decisionInputs(svc, request, now)})
-		default:
-			kept = append(kept, request)
-		}
-	}
-	svc.waiting = kept
-	return decisions
-}
-
-// assign gives a request a slot at an endpoint and counts its cost as recent use.
-func (s *Scheduler) assign(svc *service, e *endpoint, request *Request, now time.Time) {
-	request.endpoint, request.placedAt = e, now
-	request.occupancy = float64(e.running()) / float64(e.info.Slots)
-	request.prefillTokens = e.tokensToPrefill(request)
-	e.ownRunning++
-	e.startPrefill(request)
-	if len(request.Prompt) > 0 {
-		svc.recordPrompt(e, request.Prompt)
-		s.sentPrompts = append(s.sentPrompts, SentPrompt{KeyOf(e.info.ID), request.Prompt})
-	}
-	if request.Share > 0 {
-		svc.recentUse[request.Organisation] += request.Cost / request.Share
-	}
-}
-
 func (s *Scheduler) freeSlotsOfService(svc *service, now time.Time) int {
 	n := 0
 	for _, e := range svc.endpoints {
@@ -397,25 +224,6 @@
 	}
 }
 
-func (s *Scheduler) decisionInputs(svc *service, request *Request, now time.Time) Inputs {
-	in := Inputs{
-		Free:           s.freeSlotsOfService(svc, now),
-		Waiting:        len(svc.waiting),
-		PeersWaiting:   svc.countPeerWaiting(func(int) bool { return true }),
-		ExpectedWait:   svc.expectedWait(request, now),
-		UsualFirstByte: svc.usualFirstByte(request),
-	}
-	for _, e := range svc.endpoints {
-		if e.usable() {
-			in.Endpoints++
-		}
-	}
-	for _, reportedAt := range s.lastReports {
-		in.OldestReport = max(in.OldestReport, now.Sub(reportedAt))
-	}
-	return in
-}
-
 func (s *Scheduler) getOrCreateService(name string) *service {
 	svc := s.services[name]
 	if svc == nil {
@@ -450,19 +258,3 @@
 	delete(s.serviceByEndpointID, id)
 	svc.endpointIDs = slices.DeleteFunc(svc.endpointIDs, func(other string) bool { return other == id })
 }
-
-// await sets the endpoint whose slot the request waits for; nil for any.
-func (r *Request) await(e *endpoint) {
-	if r.awaited != nil {
-		r.awaited.awaiting--
-	}
-	r.awaited = e
-	if e != nil {
-		e.awaiting++
-	}
-}
-
-// excludes reports whether the endpoint must not run the request.
-func (r *Request) excludes(id string) bool {
-	return slices.Contains(r.ExcludedEndpoints, id) || len(r.AllowedEndpoints) > 0 && !slices.Contains(r.AllowedEndpoints, id)
-}
