acaciagateway: a refusal without an ID on a reused connection answers nobody

Cause: a refusal ("not run") that names no request counted as the answer of whatever request waited on the connection. Change: on a connection that has served others, a refusal must name its request; on a new one it may not. Before: TestLateRefusalIsNotTakenForTheNextRequest got 503 for a request that ran. After: its own answer, one run.

--- a/acaciagateway/call.go
+++ b/acaciagateway/call.go
@@ -79,10 +79,11 @@
 }
 
 // matchesRequest reports whether a response belongs to the request. A refusal without a
-// request ID counts as a match.
-func (x *exchange) matchesRequest(header http.Header) bool {
+// request ID does on a new connection; on a reused one it may be a late copy of the refusal of
+// another request, while this one runs.
+func (x *exchange) matchesRequest(header http.Header, reused bool) bool {
 	metadata := acaciaplatform.DecodeResponse(header)
-	return metadata.RequestID == x.metadata.ID || metadata.RequestID == "" && metadata.NotRun
+	return metadata.RequestID == x.metadata.ID || metadata.RequestID == "" && metadata.NotRun && !reused
 }
 
 // classifySendError returns the outcome of a call that returned no response.
--- a/acaciagateway/retry_test.go
+++ b/acaciagateway/retry_test.go
@@ -166,3 +166,26 @@
 	}
 	assert.Equal(t, misdirected.Load(), int64(1))
 }
+
+// A late copy of a refusal that names no request arrives on a connection that has been reused.
+// The request that is waiting there runs: it must not be called not run, or be sent again.
+func TestLateRefusalIsNotTakenForTheNextRequest(t *testing.T) {
+	var runs atomic.Int64
+	b := newTestbed(t, func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			writeResponse(w, r, "first")
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", acaciaplatformstandin.HeaderNotRun)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r-2\r\n%s: seal\r\nContent-Length: 6\r\n\r\nsecond",
+			acaciaplatformstandin.HeaderRequestID, acaciaplatformstandin.HeaderSignature)
+	})
+	assert.Equal(t, b.send(http.MethodPost, "/unsafe/", "r-1", "x").body, "first")
+	second := b.send(http.MethodPost, "/unsafe/", "r-2", "x")
+	assert.Equal(t, second.status, http.StatusOK)
+	assert.Equal(t, second.body, "second")
+	assert.Equal(t, runs.Load(), int64(2))
+}
--- a/acaciaupstream/call.go
+++ b/acaciaupstream/call.go
@@ -24,8 +24,8 @@
 		Header http.Header
 		Body   []byte
 		// MatchesResponse reports whether a response with these headers belongs to
-		// the request.
-		MatchesResponse func(http.Header) bool
+		// the request; reused tells whether the connection has served others before.
+		MatchesResponse func(header http.Header, reused bool) bool
 	}
 
 	// Response is an endpoint's response: its status and headers, and its body as a
@@ -170,7 +170,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if call.MatchesResponse(response.Header) {
+		if call.MatchesResponse(response.Header, r.connection.reused) {
 			r.response = response
 			r.Status, r.Header, r.Length = response.StatusCode, response.Header, response.ContentLength
 			return nil
--- a/acaciaupstream/pool_test.go
+++ b/acaciaupstream/pool_test.go
@@ -40,7 +40,7 @@
 func newCall(address, id string, body []byte) Call {
 	return Call{
 		Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, Body: body,
-		MatchesResponse: func(header http.Header) bool { return header.Get("Id") == id },
+		MatchesResponse: func(header http.Header, _ bool) bool { return header.Get("Id") == id },
 	}
 }
 
