Quotas: tell each group of gateways what has changed since its own last message

Since messages hold the use that has changed since the last message, but gateways of another region get only some of the messages: what changed in the others never reached them. Ruled out: the interval between regions alone (TestQuotaHoldsWhileReportsOfManyProcesses- AreDelayed keeps the limit at 166 and 530 ms in virtual time). Of a process first heard of, only what is new is charged, organisation by organisation. Before: with one record, the test's receiver in the other region knows of nothing. After: of all within 0.2 s.

--- a/acaciabudget/quota.go
+++ b/acaciabudget/quota.go
@@ -1,7 +1,6 @@
 package acaciabudget
 
 import (
-	"maps"
 	"time"
 
 	"github.com/acaciaroute/acaciaroute/acaciasite"
@@ -21,13 +20,21 @@
 	Quota struct {
 		settings QuotaSettings
 		accounts map[string]*account
-		// peerUsage is what each other process last reported as used, by organisation.
-		peerUsage map[string]map[string]float64
+		// peerUsage is what each other process has reported.
+		peerUsage map[string]*peerUsage
 		// reachableShare is the part of each quota that the reachable processes may
 		// use together.
 		reachableShare float64
 	}
 
+	// peerUsage is what another process has reported.
+	peerUsage struct {
+		// last is what it last reported as used, by organisation; what is missing is zero
+		// once a complete report has been received.
+		last     map[string]float64
+		complete bool
+	}
+
 	// QuotaSettings configure the window over which quotas are checked, and by how much the
 	// use of all processes together may exceed them.
 	QuotaSettings struct {
@@ -60,8 +67,6 @@
 		meanCost float64
 		// used is what this process has used since it started.
 		used float64
-		// reportedUse is the value of used at the last ChangedUse.
-		reportedUse float64
 	}
 )
 
@@ -87,7 +92,7 @@
 
 // NewQuota returns a Quota without organisations.
 func NewQuota(settings QuotaSettings) *Quota {
-	return &Quota{settings: settings, accounts: map[string]*account{}, peerUsage: map[string]map[string]float64{}, reachableShare: 1}
+	return &Quota{settings: settings, accounts: map[string]*account{}, peerUsage: map[string]*peerUsage{}, reachableShare: 1}
 }
 
 // Configure applies the organisations of a new configuration. What they have used so far
@@ -170,38 +175,38 @@
 	return used
 }
 
-// ChangedUse returns what this process has used since it started, for the organisations
-// whose use has changed since the last call.
-func (q *Quota) ChangedUse() map[string]float64 {
+// ChangedUse returns what this process has used since it started, for the organisations whose
+// use differs from reported, and updates reported. Receivers of different messages need one
+// reported each.
+func (q *Quota) ChangedUse(reported map[string]float64) map[string]float64 {
 	changed := map[string]float64{}
 	for name, a := range q.accounts {
-		if a.used != a.reportedUse {
+		if a.used != reported[name] {
 			changed[name] = a.used
-			a.reportedUse = a.used
+			reported[name] = a.used
 		}
 	}
 	return changed
 }
 
 // ApplyPeerUsage charges organisations for what another process has used since its
-// previous report. A complete report holds all organisations. Until the first complete
-// report of a process nothing is charged, because its use may be old.
+// previous report. A complete report holds all organisations, others those whose use has
+// changed. What is first heard of a process is not charged, because it may be old.
 func (q *Quota) ApplyPeerUsage(process string, used map[string]float64, complete bool, now time.Time) {
-	last, known := q.peerUsage[process]
-	if !known {
-		if complete {
-			q.peerUsage[process] = map[string]float64{}
-			maps.Copy(q.peerUsage[process], used)
-		}
-		return
+	peer := q.peerUsage[process]
+	if peer == nil {
+		peer = &peerUsage{last: map[string]float64{}}
+		q.peerUsage[process] = peer
 	}
 	for name, amount := range used {
-		if a := q.accounts[name]; a != nil {
+		last, known := peer.last[name]
+		peer.last[name] = amount
+		if a := q.accounts[name]; a != nil && (known || peer.complete) {
 			q.refill(a, now)
-			a.debit(amount - last[name])
+			a.debit(amount - last)
 		}
-		last[name] = amount
 	}
+	peer.complete = peer.complete || complete
 }
 
 // RemovePeer removes a process that has ended.
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -47,8 +47,9 @@
 		broadcastScheduled    bool
 		fetchingConfiguration bool
 		messageSequence       uint64
-		completeUseSentAt     time.Time
-		startedAt             int64
+		// nearUse is for the gateways of the region, farUse for those of the others.
+		nearUse, farUse useReports
+		startedAt       int64
 
 		peerSocket *net.UDPConn
 		// peerClient fetches the configuration from other gateways.
--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/acaciaroute/acaciaroute/acaciabudget"
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciapeer"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
@@ -33,6 +34,13 @@
 	maxConfigurationBytes = 16 << 20
 )
 
+// useReports keeps what has been reported of the quota use to one group of gateways that all get
+// the same messages.
+type useReports struct {
+	reported   map[string]float64
+	completeAt time.Time
+}
+
 // openPeerSocket opens the UDP socket for messages between gateways.
 func (g *Gateway) openPeerSocket(ctx context.Context) error {
 	conn, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", g.settings.PeerAddress)
@@ -72,21 +80,27 @@
 		CrashCounts:     g.crashCounts.local,
 		Leaving:         leaving,
 	}
-	message.UsedComplete = leaving || now.Sub(g.completeUseSentAt) >= completeUseInterval
-	message.Used = g.quota.ChangedUse()
-	if message.UsedComplete {
-		g.completeUseSentAt = now
-		message.Used = g.quota.Used()
-	}
 	if current := g.configuration.Load(); current != nil {
 		message.Version = current.Version
 	}
+	near, far := g.members.NextTargets(now)
+	g.sendMessage(message, &g.nearUse, near)
+	g.sendMessage(message, &g.farUse, far)
+}
+
+// sendMessage sends a message to addresses that all get the same messages. It adds the quota use
+// that has changed since the last of them, or all use if that is due.
+func (g *Gateway) sendMessage(message acaciapeer.Message, use *useReports, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	message.Used, message.UsedComplete = use.next(g.quota, message.Leaving, g.loop.Now())
 	data, err := message.Encode()
 	if err != nil {
 		g.recorder.RecordCallFailure("encode a message to peers", acaciaevent.Event{}, err)
 		return
 	}
-	for _, address := range g.members.NextTargets(now) {
+	for _, address := range addresses {
 		destination, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
 			continue
@@ -97,6 +111,19 @@
 	}
 }
 
+// next returns the use for the next message, and whether it is complete.
+func (u *useReports) next(quota *acaciabudget.Quota, leaving bool, now time.Time) (used map[string]float64, complete bool) {
+	if u.reported == nil {
+		u.reported = map[string]float64{}
+	}
+	used = quota.ChangedUse(u.reported)
+	if !leaving && now.Sub(u.completeAt) < completeUseInterval {
+		return used, false
+	}
+	u.completeAt = now
+	return quota.Used(), true
+}
+
 // heartbeat schedules messages regularly, so that a gateway without requests sends them too,
 // and removes peers that have sent none for too long.
 func (g *Gateway) heartbeat(ctx context.Context) {
--- a/acaciapeer/members.go
+++ b/acaciapeer/members.go
@@ -11,6 +11,8 @@
 		self    string
 		region  string
 		members map[string]*member
+		// farSentAt is when messages were last sent to other regions.
+		farSentAt time.Time
 		// hints maps each address at which a process may listen to the time when a message
 		// was last sent there. The addresses come from the settings, the store and dropped
 		// processes, and may be wrong.
@@ -27,7 +29,6 @@
 		region    string
 		address   string
 		lastHeard time.Time
-		lastSent  time.Time
 	}
 
 	// Effect is the effect of a message on the membership list.
@@ -55,13 +56,9 @@
 	// lostRetention is how long a dropped process counts as possibly alive behind a network
 	// partition.
 	lostRetention = 20 * time.Second
-	// minOtherRegionInterval is the least time between messages to a process in another
-	// region. The interval grows by otherRegionIntervalPerProcess with each known process, so
-	// that the bytes between regions do not grow with the square of their number, up to
-	// maxOtherRegionInterval, after which quotas would be charged too late.
-	minOtherRegionInterval        = 100 * time.Millisecond
-	otherRegionIntervalPerProcess = 8 * time.Millisecond
-	maxOtherRegionInterval        = 500 * time.Millisecond
+	// otherRegionInterval is the least time between messages to a process in another
+	// region.
+	otherRegionInterval = 100 * time.Millisecond
 )
 
 // NewMembers returns the membership list of a process that has just started in a region.
@@ -125,29 +122,34 @@
 	return silent
 }
 
-// NextTargets returns the addresses to which a message is to be sent now, and
-// records it as sent.
-func (m *Members) NextTargets(now time.Time) []string {
-	var targets []string
+// NextTargets returns the addresses to which a message is to be sent now, and records it as
+// sent. Those in other regions all get the same messages, which are fewer; far is empty for the
+// others.
+func (m *Members) NextTargets(now time.Time) (near, far []string) {
 	live := map[string]bool{}
-	otherRegionInterval := min(max(time.Duration(m.Count())*otherRegionIntervalPerProcess, minOtherRegionInterval), maxOtherRegionInterval)
+	farDue := now.Sub(m.farSentAt) >= otherRegionInterval
+	if farDue {
+		m.farSentAt = now
+	}
 	for _, peer := range m.members {
 		live[peer.address] = true
-		if peer.region != m.region && now.Sub(peer.lastSent) < otherRegionInterval {
-			continue
+		switch {
+		case peer.region == m.region:
+			near = append(near, peer.address)
+		case farDue:
+			far = append(far, peer.address)
 		}
-		peer.lastSent = now
-		targets = append(targets, peer.address)
 	}
 	for address, lastSent := range m.hints {
 		if live[address] || now.Sub(lastSent) < hintInterval {
 			continue
 		}
 		m.hints[address] = now
-		targets = append(targets, address)
+		near = append(near, address)
 	}
-	slices.Sort(targets)
-	return targets
+	slices.Sort(near)
+	slices.Sort(far)
+	return near, far
 }
 
 // Count returns the number of known processes, including this one.
