--- a/acaciaprefix/segment.go
+++ b/acaciaprefix/segment.go
@@ -9,8 +9,8 @@
 // Segment is a segment of a prompt. Prefix is a hash of the prompt up to the segment's end, so
 // that equal prefixes have equal hashes; Tokens is the length of the segment alone.
 type Segment struct {
-	Prefix uint64 `json:"p"`
-	Tokens int    `json:"n"`
+	Prefix uint64
+	Tokens int
 }
 
 // minSegmentTokens is the least length of a segment returned by ChainSegments.
