--- a/acaciaevent/inputs.go
+++ b/acaciaevent/inputs.go
@@ -34,6 +34,8 @@
 		PromptTokens int `json:"prompt_tokens,omitempty"`
 		OutputTokens int `json:"output_tokens,omitempty"`
 		Events       int `json:"events,omitempty"`
+		// PromptSegments are the hexadecimal IDs of the prompt's segments, in order.
+		PromptSegments []string `json:"prompt_segments,omitempty"`
 		// Endpoints is the number of endpoints that could serve the request.
 		Endpoints int `json:"endpoints,omitempty"`
 		// Asked is the number of them that were asked for a slot. Of those, Declined
--- a/acaciagateway/call.go
+++ b/acaciagateway/call.go
@@ -131,6 +131,8 @@
 	}
 	event := x.newEvent(acaciaevent.EndpointDied)
 	event.KeyHash = fmt.Sprintf("%016x", x.contentHash)
+	event.Inputs = x.eventInputs(nil)
+	event.Inputs.PromptSegments = x.segmentNames()
 	x.gateway.recorder.Record(event)
 	g := x.gateway
 	g.loop.Post(func() { g.crashCounts.recordCrash(x.contentHash) })
--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -91,6 +91,7 @@
 		x.endpoint = decision.Endpoint
 		event := x.newEvent(acaciaevent.RequestDispatched)
 		event.Inputs = x.eventInputs(&decision)
+		event.Inputs.PromptSegments = x.segmentNames()
 		x.gateway.recorder.Record(event)
 		outcome, failure, err := x.callWithWatchdog(ctx, schedRequest, decision.Inputs.ExpectedFirstByte)
 		x.releaseSlot(schedRequest, failure)
--- a/acaciagateway/serve.go
+++ b/acaciagateway/serve.go
@@ -226,6 +226,15 @@
 	return event
 }
 
+// segmentNames returns the IDs of the prompt's segments as events show them.
+func (x *exchange) segmentNames() []string {
+	names := make([]string, len(x.metadata.PromptSegments))
+	for i, segment := range x.metadata.PromptSegments {
+		names[i] = strconv.FormatUint(segment.ID, 16)
+	}
+	return names
+}
+
 // eventInputs returns the values that led to an event about the request; decision may be nil.
 func (x *exchange) eventInputs(decision *acaciaschedule.Decision) *acaciaevent.Inputs {
 	inputs := &acaciaevent.Inputs{
