An unframed stream that ends as its endpoint crashes is not whole

A caller would have got the first events of a stream as the whole answer: without a length or chunks a stream ends with its connection, and a crash between two events looks the same. Cause: the end of the connection at the end of an event counted as the end of the answer. Change: at such an end the endpoint is asked whether it still takes connections; if it refuses them, the stream is resumed elsewhere or aborted. Costs one connection, which is kept, for each. Before: TestUnframedStreamCutByCrashIsNotComplete fails (two of four events). After: passes.

--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -96,7 +96,7 @@
 		switch {
 		case eventErr != nil:
 			err = eventErr
-		case errors.Is(err, io.EOF) && len(pending) == 0:
+		case errors.Is(err, io.EOF) && len(pending) == 0 && !x.endedByCrash(ctx, response):
 			x.sendStreamHeader(response)
 			x.recordDelivered(response.Status)
 			x.reportStream(schedRequest)
@@ -121,6 +121,17 @@
 	}
 }
 
+// endedByCrash reports whether a stream may have ended between two events because its endpoint
+// crashed: nothing but the endpoint's being alive shows that a stream without framing is whole.
+func (x *exchange) endedByCrash(ctx context.Context, response *acaciaupstream.Response) bool {
+	if !response.Unframed() {
+		return false
+	}
+	checkCtx, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
+	defer cancel()
+	return x.gateway.upstream.Refuses(checkCtx, x.endpoint.Address)
+}
+
 // sendStreamHeader sends the response header of a stream before its first event, or at the end
 // of a stream without events.
 func (x *exchange) sendStreamHeader(response *acaciaupstream.Response) {
--- a/acaciagateway/stream_test.go
+++ b/acaciagateway/stream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -147,3 +148,37 @@
 	assert.Equal(t, strings.Count(r.body, "data:"), 4)
 	assert.Equal(t, starts.Load(), int64(1))
 }
+
+// A stream without a length or chunks ends with its connection, also when its endpoint crashes
+// between two events. The caller must not get the part that had come as the whole answer.
+func TestUnframedStreamCutByCrashIsNotComplete(t *testing.T) {
+	var crashed atomic.Bool
+	b := newTestbed(t)
+	for i := range 2 {
+		var server *httptest.Server
+		server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			from, to := 1, 2
+			if r.Header.Get("Last-Event-Id") == "2" {
+				from, to = 3, 4
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			defer func() { _ = conn.Close() }()
+			if crashed.CompareAndSwap(false, true) {
+				_ = server.Listener.Close()
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r-1\r\n%s: seal\r\n\r\n",
+				acaciaplatformstandin.HeaderRequestID, acaciaplatformstandin.HeaderSignature)
+			for event := from; event <= to; event++ {
+				_, _ = fmt.Fprintf(conn, "id: %d\ndata: x%d\n\n", event, event)
+			}
+		}))
+		server.Start()
+		t.Cleanup(server.Close)
+		registerEndpoint(t, b.store, fmt.Sprintf("i-%d", i), server.Listener.Addr().String(), false)
+	}
+	waitFor(t, func() bool { return len(b.gateway.endpointIDs()) == 2 })
+	r := b.send(http.MethodPost, "/stream/", "r-1", "x")
+	assert.NilError(t, r.err)
+	assert.Check(t, strings.HasSuffix(r.body, "id: 4\ndata: x4\n\n"), r.body)
+}
--- a/acaciaupstream/call.go
+++ b/acaciaupstream/call.go
@@ -110,6 +110,12 @@
 	return n, err
 }
 
+// Unframed reports whether the body has neither a length nor chunks, so that it ends where its
+// connection ends, whatever the reason.
+func (r *Response) Unframed() bool {
+	return r.Length < 0 && len(r.response.TransferEncoding) == 0
+}
+
 // Close ends the call. If the request and the response were transferred completely and the
 // endpoint keeps the connection open, it goes back to the pool; otherwise it is closed, so
 // that the endpoint stops any remaining work.
