A planned stop answers what has reached the gateway to the very end

Callers got EOF or a reset when they connected, or sent a request, in the last milliseconds of a drain. Cause: http.Server.Shutdown closes the listener at once (the system resets what waits to be accepted) and drops each request that it reads from then on. Change: acaciagateway/server.go accepts what waits, closes the listener, waits until no request is in progress, then shuts down. The test takes a reset while the connection is being made for a refusal (nothing has been sent); a reset or EOF after that fails it as before. Conclusion: traced and mended; a kept connection that is closed while a request is on its way remains, as with every HTTP server.

--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -56,7 +56,7 @@
 		peerSocket *net.UDPConn
 		// peerClient fetches the configuration from other gateways.
 		peerClient   *http.Client
-		servers      []*http.Server
+		servers      []*server
 		workers      []*acacialoop.Worker
 		serverErrors chan error
 	}
@@ -189,13 +189,13 @@
 	case <-ctx.Done():
 	}
 	callerServer, otherServers := g.servers[0], g.servers[1:]
-	err := callerServer.Shutdown(ctx)
+	err := callerServer.Drain(ctx)
 	g.announceLeaving()
 	for _, worker := range g.workers {
 		worker.Close()
 	}
 	for _, server := range otherServers {
-		err = errors.Join(err, server.Close())
+		err = errors.Join(err, server.http.Close())
 	}
 	g.upstream.Close()
 	g.loop.Close()
@@ -216,15 +216,15 @@
 		return err
 	}
 	*address = listener.Addr().String()
-	server := &http.Server{
+	server := newServer(listener.(*net.TCPListener), &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	})
 	g.servers = append(g.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.serve(); err != nil {
 			g.serverErrors <- err
 		}
 	}()
