--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -41,14 +41,7 @@
 		err = errResponseTooLong
 	}
 	if err != nil {
-		if x.r.Context().Err() != nil {
-			return outcomeCallerGone, 0, err
-		}
-		if wd.fired() {
-			return outcomeFailed, wd.failure(), wd.cause()
-		}
-		x.checkEndpointCrash(ctx)
-		return outcomeFailed, acaciaschedule.FailureInvalidResponse, err
+		return x.classifyReadError(ctx, response, wd, err)
 	}
 	failure := acaciaschedule.Failure(0)
 	if response.Status >= http.StatusInternalServerError {
@@ -107,18 +100,21 @@
 		if err == nil {
 			continue
 		}
-		if x.r.Context().Err() != nil {
-			return outcomeCallerGone, 0, err
-		}
-		if wd.fired() {
-			return outcomeFailed, wd.failure(), wd.cause()
-		}
-		if ctx.Err() == nil {
-			response.Close()
-			x.checkEndpointCrash(ctx)
-		}
-		return outcomeFailed, acaciaschedule.FailureInvalidResponse, err
+		return x.classifyReadError(ctx, response, wd, err)
+	}
+}
+
+// classifyReadError returns the outcome of a call whose response could not be read to its end.
+func (x *exchange) classifyReadError(ctx context.Context, response *acaciaupstream.Response, wd *watchdog, err error) (callOutcome, acaciaschedule.Failure, error) {
+	if x.r.Context().Err() != nil {
+		return outcomeCallerGone, 0, err
+	}
+	if wd.fired() {
+		return outcomeFailed, wd.failure(), wd.cause()
 	}
+	response.Close()
+	x.checkEndpointCrash(ctx)
+	return outcomeFailed, acaciaschedule.FailureInvalidResponse, err
 }
 
 // endedByCrash reports whether a stream may have ended between two events because its endpoint
