--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -70,6 +70,8 @@
 	VMReturned     Kind = 518
 	PeerFound      Kind = 519
 	PeerLost       Kind = 520
+	// EndpointLimited marks a change of the rate of requests that an endpoint accepts.
+	EndpointLimited Kind = 521
 
 	LeaseTaken   Kind = 601
 	OrderIssued  Kind = 602
@@ -138,13 +140,14 @@
 	VMGone:      "vm_gone",
 	VMKept:      "vm_kept",
 
-	AgentUnreached: "agent_unreached",
-	DependencyLost: "dependency_lost",
-	DependencyBack: "dependency_back",
-	CallFailed:     "call_failed",
-	VMReturned:     "vm_returned",
-	PeerFound:      "peer_found",
-	PeerLost:       "peer_lost",
+	AgentUnreached:  "agent_unreached",
+	DependencyLost:  "dependency_lost",
+	DependencyBack:  "dependency_back",
+	CallFailed:      "call_failed",
+	VMReturned:      "vm_returned",
+	PeerFound:       "peer_found",
+	PeerLost:        "peer_lost",
+	EndpointLimited: "endpoint_limited",
 
 	LeaseTaken:   "lease_taken",
 	OrderIssued:  "order_issued",
--- a/acaciagateway/call.go
+++ b/acaciagateway/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciaschedule"
 	"github.com/acaciaroute/acaciaroute/acaciasite"
 	"github.com/acaciaroute/acaciaroute/acaciaupstream"
@@ -55,6 +56,7 @@
 	}
 	defer response.Close()
 	metadata := acaciaplatform.DecodeResponse(response.Header)
+	x.observeRateLimit(schedRequest, metadata)
 	if metadata.NotRun {
 		failure, err := x.classifyRefusal(response)
 		return outcomeNotRun, failure, err
@@ -77,6 +79,19 @@
 	return x.relayPlain(ctx, response, wd)
 }
 
+// observeRateLimit tells the scheduler whether the endpoint limits the requests that it accepts.
+func (x *exchange) observeRateLimit(schedRequest *acaciaschedule.Request, metadata acaciaplatform.ResponseInfo) {
+	limit := acaciaschedule.RateLimit{Limited: metadata.Limited, Rate: metadata.RateLimit}
+	event := x.newEvent(acaciaevent.EndpointLimited)
+	event.Detail = limit.String()
+	g := x.gateway
+	g.loop.Post(func() {
+		if g.scheduler.RecordRateLimit(schedRequest, limit, g.loop.Now()) {
+			g.recorder.Record(event)
+		}
+	})
+}
+
 // matchesRequest reports whether a response belongs to the request. A refusal without a
 // request ID does on a new connection; on a reused one it may be a late copy of the refusal of
 // another request, while this one runs.
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -50,6 +50,8 @@
 		// unreachableUntil is until when other processes are told that this process could not
 		// connect to the endpoint; zero after a success.
 		unreachableUntil time.Time
+		// limit is what the endpoint said last of the requests that it accepts.
+		limit RateLimit
 	}
 )
 
