Gateways keep to the rate of requests that an endpoint names

Cause: nothing read the limit; placement went by slots and speed. Ruled out by the new lines: limits kept by each gateway alone, excess by retries. Change: acaciaschedule/limit.go gives each process tokens at its part of the rate, by its part of the requests in the endpoint's region; limits are told in reports; free slots of limited endpoints are the process's own and not queued for with the others; expected waits count limited endpoints at their rate. Before: TestLimitOfEndpointIsKeptByAllProcesses fails without the tokens (39 requests in 4 s, 35 allowed; 35 where 11 are).

--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -148,7 +148,9 @@
 			for _, name := range g.members.DropSilent(now) {
 				g.removePeer(name)
 			}
-			g.quota.SetReachableShare(g.members.ReachableShare(now))
+			reachableShare := g.members.ReachableShare(now)
+			g.quota.SetReachableShare(reachableShare)
+			g.scheduler.SetReachableShare(reachableShare)
 			g.scheduleBroadcast()
 			g.metrics.updateGauges(g)
 		})
@@ -201,6 +203,7 @@
 		g.quota.RemovePeer(message.Process)
 		g.near.crashes.SendAll()
 		g.far.crashes.SendAll()
+		g.scheduler.TellLimits(now)
 		g.recorder.Record(acaciaevent.Event{Kind: acaciaevent.PeerFound, Detail: message.Process, Endpoint: from})
 		g.scheduleBroadcast()
 	case acaciapeer.EffectUpdated:
--- a/acaciapeer/members_test.go
+++ b/acaciapeer/members_test.go
@@ -88,8 +88,11 @@
 			},
 			Prompts:              []acaciaschedule.SentPrompt{{Endpoint: 7, Prompt: []acaciaprefix.Segment{{Prefix: 1 << 63, Tokens: 500}}}},
 			UnreachableEndpoints: []acaciaschedule.EndpointKey{9},
-			Waiting:              map[string]map[int]int{"m": {0: 2}},
-			Heads:                map[string][]acaciaschedule.QueuePosition{"m": {5, 7}},
+			Limits: map[acaciaschedule.EndpointKey]acaciaschedule.EndpointLimit{
+				3: {RateLimit: acaciaschedule.RateLimit{Limited: true, Rate: 4.5}, AnsweredAt: now.Add(-time.Second)},
+			},
+			Waiting: map[string]map[int]int{"m": {0: 2}},
+			Heads:   map[string][]acaciaschedule.QueuePosition{"m": {5, 7}},
 		},
 		Leaving: true, UsedComplete: true, StoreReadableMS: 4,
 		Used: map[string]float64{"club": 1.5},
--- a/acaciapeer/message.go
+++ b/acaciapeer/message.go
@@ -57,6 +57,11 @@
 		wire.LoadPrefill = append(wire.LoadPrefill, uint32(load.Prefill))
 		wire.LoadAwaiting = append(wire.LoadAwaiting, uint32(load.Awaiting))
 	}
+	for key, limit := range m.Limits {
+		wire.Limits = append(wire.Limits, &acaciawire.EndpointLimit{
+			Endpoint: uint32(key), Limited: limit.Limited, Rate: limit.Rate, AnsweredMsAgo: encodeAge(limit.AnsweredAt, now),
+		})
+	}
 	for _, key := range m.UnreachableEndpoints {
 		wire.UnreachableEndpoints = append(wire.UnreachableEndpoints, uint32(key))
 	}
@@ -92,6 +97,14 @@
 			Running: at(wire.LoadRunning, i), Prefill: at(wire.LoadPrefill, i), Awaiting: at(wire.LoadAwaiting, i),
 		}
 	}
+	for _, limit := range wire.Limits {
+		if m.Limits == nil {
+			m.Limits = map[acaciaschedule.EndpointKey]acaciaschedule.EndpointLimit{}
+		}
+		m.Limits[acaciaschedule.EndpointKey(limit.Endpoint)] = acaciaschedule.EndpointLimit{
+			RateLimit: acaciaschedule.RateLimit{Limited: limit.Limited, Rate: limit.Rate}, AnsweredAt: decodeAge(limit.AnsweredMsAgo, now),
+		}
+	}
 	for _, key := range wire.UnreachableEndpoints {
 		m.UnreachableEndpoints = append(m.UnreachableEndpoints, acaciaschedule.EndpointKey(key))
 	}
--- a/acaciaschedule/decision.go
+++ b/acaciaschedule/decision.go
@@ -72,7 +72,8 @@
 	s.sortWaiting(svc, now)
 	var decisions []Decision
 	kept := svc.waiting[:0:0]
-	free, blocked := s.freeSlotsOfService(svc, now), 0
+	shared, own := s.freeSlotsByOwner(svc, now)
+	blocked := 0
 	queue := svc.waiting
 	for i, request := range queue {
 		var e *endpoint
@@ -80,13 +81,18 @@
 		// across all processes. Requests for which no free slot is suitable do not count as
 		// waiting for one.
 		request.unplaceable = false
-		if blocked+svc.countPeerAhead(request, now) < free {
-			var awaited *endpoint
-			e, awaited = s.chooseEndpoint(svc, request, now)
+		var awaited *endpoint
+		isNext := blocked+svc.countPeerAhead(request, now) < shared
+		if isNext || own > 0 {
+			e, awaited = s.chooseEndpoint(svc, request, !isNext, now)
+		}
+		if isNext {
 			request.unplaceable = e == nil
 			request.await(awaited)
 		} else {
 			request.await(nil)
+		}
+		if !isNext && e == nil {
 			blocked++
 		}
 		svc.waiting = append(slices.Clone(kept), queue[i:]...)
@@ -97,7 +103,11 @@
 			info := e.info
 			decisions = append(decisions, Decision{Request: request, DecidedAt: now, Inputs: inputs, Endpoint: &info})
 			s.assign(svc, e, request, now)
-			free--
+			if e.limiter.Limited {
+				own--
+			} else {
+				shared--
+			}
 		case !now.Before(request.Deadline) || svc.waitsTooLong(request, now):
 			request.await(nil)
 			decisions = append(decisions, Decision{Request: request, DecidedAt: now, RetryAfter: s.retryAfter(svc, request, now), Inputs: s.decisionInputs(svc, request, now)})
@@ -115,6 +125,7 @@
 	request.occupancy = float64(e.running()) / float64(e.info.Slots)
 	request.prefillTokens = e.tokensToPrefill(request)
 	e.ownRunning++
+	e.limiter.take()
 	e.startPrefill(request)
 	if len(request.Prompt) > 0 {
 		svc.recordPrompt(e, request.Prompt)
--- a/acaciaschedule/peer.go
+++ b/acaciaschedule/peer.go
@@ -40,6 +40,8 @@
 		// UnreachableEndpoints lists the endpoints to which the process recently failed to
 		// connect.
 		UnreachableEndpoints []EndpointKey
+		// Limits holds the limits that endpoints have newly named, or named no more.
+		Limits map[EndpointKey]EndpointLimit
 		// Heads holds the queue positions of its first waiting requests per service.
 		Heads map[string][]QueuePosition
 	}
@@ -112,6 +114,11 @@
 			e.suspendUntil(now.Add(peerReportedSuspension))
 		}
 	}
+	for key, limit := range report.Limits {
+		if e := s.endpointsByKey[key]; e != nil {
+			s.setLimit(e, limit, now)
+		}
+	}
 	for name, svc := range s.services {
 		svc.setPeerQueue(process, peerQueue{region: region, reportedAt: now, waiting: report.Waiting[name], heads: report.Heads[name]})
 	}
@@ -161,7 +168,7 @@
 func (s *Scheduler) BuildReport(now time.Time) Report {
 	report := Report{
 		Loads: map[EndpointKey]EndpointLoad{}, Prompts: s.sentPrompts,
-		Waiting: map[string]map[int]int{}, Heads: map[string][]QueuePosition{},
+		Waiting: map[string]map[int]int{}, Heads: map[string][]QueuePosition{}, Limits: s.limitsToTell(now),
 	}
 	s.sentPrompts = nil
 	for key, e := range s.endpointsByKey {
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -50,8 +50,8 @@
 		// unreachableUntil is until when other processes are told that this process could not
 		// connect to the endpoint; zero after a success.
 		unreachableUntil time.Time
-		// limit is what the endpoint said last of the requests that it accepts.
-		limit RateLimit
+		// limiter keeps to the rate of requests that the endpoint accepts.
+		limiter rateLimiter
 	}
 )
 
@@ -112,7 +112,7 @@
 	case e.completionInterval() <= maxPrefetchInterval:
 		slots += s.settings.Prefetch
 	}
-	return max(0, slots-e.running())
+	return s.limitedSlots(e, max(0, slots-e.running()), now)
 }
 
 // inOtherRegion reports whether the endpoint is in another region than this process.
@@ -138,8 +138,9 @@
 
 // chooseEndpoint returns the endpoint with a free slot that is expected to serve the request
 // best. It returns nil if there is none, and also if it is better to wait for a slot at an
-// occupied endpoint; awaited is that endpoint.
-func (s *Scheduler) chooseEndpoint(svc *service, request *Request, now time.Time) (chosen, awaited *endpoint) {
+// occupied endpoint; awaited is that endpoint. If limitedOnly is set, the free slots of endpoints
+// without a limit go to other requests.
+func (s *Scheduler) chooseEndpoint(svc *service, request *Request, limitedOnly bool, now time.Time) (chosen, awaited *endpoint) {
 	var free, occupied candidate
 	waitingPerEndpoint := svc.waitingPerEndpoint(request)
 	for _, id := range svc.endpointIDs {
@@ -148,11 +149,11 @@
 			continue
 		}
 		prefillCost := svc.prefillCost(e, request, waitingPerEndpoint)
-		if s.freeSlots(e, now) > 0 {
+		if s.freeSlots(e, now) > 0 && (e.limiter.Limited || !limitedOnly) {
 			free.improve(e, s.expectedCost(svc, e, request, e.queueingDelay(), now)+prefillCost+svc.queueWait(e, e.awaitingOthers(request)))
 			continue
 		}
-		if s.inOtherRegion(e) {
+		if s.inOtherRegion(e) || e.limiter.Limited {
 			continue
 		}
 		occupied.improve(e, s.expectedCost(svc, e, request, svc.queueWait(e, 1+e.awaitingOthers(request)), now)+prefillCost)
--- a/acaciaschedule/queue.go
+++ b/acaciaschedule/queue.go
@@ -73,10 +73,10 @@
 // a request holds a slot, divided by the number of slots. Without a usable endpoint
 // that is not suspended, it returns priorHoldTime.
 func (svc *service) expectedWait(request *Request, now time.Time) time.Duration {
-	slots := 0
+	slots := 0.0
 	for _, e := range svc.endpoints {
 		if e.usable() && !now.Before(e.suspendedUntil) {
-			slots += e.info.Slots
+			slots += e.effectiveSlots(svc.holdTime)
 		}
 	}
 	if slots == 0 {
@@ -88,7 +88,7 @@
 			ahead++
 		}
 	}
-	return time.Duration(float64(svc.holdTime) * float64(ahead+1) / float64(slots))
+	return time.Duration(float64(svc.holdTime) * float64(ahead+1) / slots)
 }
 
 // waitsTooLong reports whether the first byte is expected so late that the request should be
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -36,6 +36,9 @@
 		lastReports map[string]time.Time
 		// peerLoads holds the loads in the last report of each other process.
 		peerLoads map[string][]peerLoad
+		// reachableShare is the number of reachable processes as a share of those that may be
+		// alive.
+		reachableShare float64
 		// sentPrompts holds the prompts sent since the last report.
 		sentPrompts []SentPrompt
 	}
@@ -85,6 +88,7 @@
 		serviceByEndpointID: map[string]*service{},
 		lastReports:         map[string]time.Time{},
 		peerLoads:           map[string][]peerLoad{},
+		reachableShare:      1,
 	}
 }
 
@@ -214,6 +218,19 @@
 	return n
 }
 
+// freeSlotsByOwner returns the number of free slots of a service that all processes may use, and of
+// those that only this process may use, because it has a part of their endpoints' limits.
+func (s *Scheduler) freeSlotsByOwner(svc *service, now time.Time) (shared, own int) {
+	for _, e := range svc.endpoints {
+		if e.limiter.Limited {
+			own += s.freeSlots(e, now)
+		} else {
+			shared += s.freeSlots(e, now)
+		}
+	}
+	return shared, own
+}
+
 // decayRecentUse reduces the recent use of each organisation by what its share has allowed
 // since the last call.
 func (svc *service) decayRecentUse(now time.Time) {
