--- a/acaciasystem/poison_test.go
+++ b/acaciasystem/poison_test.go
@@ -66,3 +66,21 @@
 	}
 	checkInvariants(t, c.events())
 }
+
+// Prompts that share the beginning that crashes engines, and nothing else, must not crash one
+// engine after another, as they did where gateways call the endpoints.
+func TestPromptsThatShareCrashingBeginningAreRefused(t *testing.T) {
+	t.Parallel()
+	const (
+		prompts    = 8
+		maxCrashes = 5
+	)
+	c := newCluster(t, 2, 3, 0)
+	beginning := acaciastandin.PoisonMarker + strings.Repeat(" the same beginning", 60)
+	for i := range prompts {
+		got := c.sendRequest(c.entries[i%2], http.MethodPost, "/v1/completions", modelBody(fmt.Sprint(beginning, " and the end ", i), 5), nil)
+		t.Logf("prompt %d: %d %s %v", i, got.status, got.code, got.err)
+		time.Sleep(1500 * time.Millisecond)
+	}
+	assert.Check(t, c.crashCount() <= maxCrashes, "%d engines crashed", c.crashCount())
+}
