--- a/acaciagateway/crash.go
+++ b/acaciagateway/crash.go
@@ -98,7 +98,8 @@
 	})
 }
 
-// endCall removes the request's call. It must be called on the loop.
+// endCall removes the request's call: it has ended, or there is no more doubt about it. It must be
+// called on the loop.
 func (g *Gateway) endCall(x *exchange) {
 	delete(g.unprovenCalls, x)
 }
@@ -110,7 +111,7 @@
 	}
 	g := x.gateway
 	g.loop.Post(func() {
-		delete(g.unprovenCalls, x)
+		g.endCall(x)
 		g.crashes.RecordAnswer(x.traits, g.loop.Now())
 	})
 }
@@ -138,6 +139,7 @@
 		if !unproven {
 			return
 		}
+		g.endCall(x)
 		g.crashes.RecordCrash(crash, x.traits, call.attempts, g.loop.Now())
 		g.applyBans()
 		// The others must know at once, because they may be sending the like.
--- a/acaciagateway/crash_test.go
+++ b/acaciagateway/crash_test.go
@@ -91,6 +91,23 @@
 	assert.Equal(t, e.crashes.Load(), crashes)
 }
 
+// Each endpoint that runs the content crashes, and the caller sends it again and again. The
+// gateway must refuse the content after the second crash.
+func TestContentThatCrashesEndpointsIsRefused(t *testing.T) {
+	const endpoints, maxCrashes = 4, 2
+	b := newTestbed(t)
+	var e crashingEndpoints
+	e.add(b, endpoints, func(*http.Request) bool { return true })
+	waitFor(t, func() bool {
+		b.send(http.MethodPost, "/unsafe/", "r", "poison")
+		return e.crashes.Load() >= maxCrashes
+	})
+	r := b.send(http.MethodPost, "/unsafe/", "r-last", "poison")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Check(t, strings.Contains(r.body, "poison_content"), r.body)
+	assert.Equal(t, e.crashes.Load(), int64(maxCrashes))
+}
+
 // A gateway that starts after the crashes must not need crashes of its own.
 func TestNewGatewayLearnsWhatCrashesEndpoints(t *testing.T) {
 	b := newTestbed(t)
--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -62,15 +61,6 @@
 	longPauses  int
 }
 
-const (
-	// maxRuns bounds how often one request runs in total; the number of different endpoints
-	// is bounded by its route.
-	maxRuns = 4
-	// maxRefusals bounds how often one request is sent again after endpoints refused it
-	// or could not be reached.
-	maxRefusals = 6
-)
-
 var errCallerGone = errors.New("the caller disconnected")
 
 // dispatch gets an endpoint from the scheduler and calls it, and tries again until the request
@@ -209,67 +199,6 @@
 	})
 }
 
-// prepareRetry decides after a failed call whether the request is sent again, and reports
-// whether it is; if not, prepareRetry answers the caller.
-func (x *exchange) prepareRetry(ctx context.Context, outcome callOutcome, failure acaciaschedule.Failure, err error) bool {
-	switch {
-	case outcome == outcomeNotRun:
-		x.refusals++
-		if failure != acaciaschedule.FailureOverloaded {
-			x.excluded = append(x.excluded, x.endpoint.ID)
-		}
-		if x.refusals > maxRefusals || failure != acaciaschedule.FailureUnreachable && !x.takeRetryBudget() {
-			x.failWithoutEndpoint(ctx, nil, &acaciaroute.Error{
-				Code: acaciaroute.CodeShed, Detail: "endpoints refused the request", RetryAfter: shortRetryAfter, Err: err,
-			})
-			return false
-		}
-	case !x.mayRunAgain() || !x.takeRetryBudget():
-		if x.headerSent {
-			x.abortResponse(err.Error())
-			return false
-		}
-		x.writeError(&acaciaroute.Error{Code: acaciaroute.CodeOutcomeUnknown, Detail: "the endpoint's answer was not whole", Err: err}, nil)
-		return false
-	case len(x.usedEndpoints) < x.route.MaxEndpoints:
-		x.excluded = append(x.excluded, x.endpoint.ID)
-	default:
-		// The route allows no further endpoint, so those that may have run the request must
-		// stay eligible.
-		x.excluded = nil
-	}
-	event := x.newEvent(acaciaevent.RequestRepeated)
-	event.Inputs, event.Detail = x.eventInputs(nil), err.Error()
-	x.gateway.recorder.Record(event)
-	return true
-}
-
-// mayRunAgain reports whether the route and maxRuns allow the request to run once more.
-func (x *exchange) mayRunAgain() bool {
-	return x.route.Repeatable() && x.runs < maxRuns
-}
-
-// takeRetryBudget charges one retry to the retry budget, unless it has already been charged.
-// It reports whether the budget allows the retry.
-func (x *exchange) takeRetryBudget() bool {
-	if x.retryCharged {
-		x.retryCharged = false
-		return true
-	}
-	allowed := false
-	g := x.gateway
-	g.loop.Do(func() { allowed = g.retryBudget.TryRetry(x.service, g.members.Count(), g.loop.Now()) })
-	return allowed
-}
-
-// recordRun records that the endpoint may have run the request.
-func (x *exchange) recordRun() {
-	x.runs++
-	if !slices.Contains(x.usedEndpoints, x.endpoint.ID) {
-		x.usedEndpoints = append(x.usedEndpoints, x.endpoint.ID)
-	}
-}
-
 // refundQuota returns the charge for a request that has not run to the organisation's quota.
 func (x *exchange) refundQuota() {
 	if x.organisation == nil || x.runs > 0 {
--- a/acaciagateway/retry_test.go
+++ b/acaciagateway/retry_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,36 +105,6 @@
 	assert.Equal(t, r.body, "done")
 }
 
-// Each endpoint that runs the content crashes, and the caller sends it again and again. The
-// gateway must refuse the content after the second crash.
-func TestContentThatCrashesEndpointsIsRefused(t *testing.T) {
-	const maxCrashes = 2
-	var crashes atomic.Int64
-	var servers [4]*httptest.Server
-	handlers := make([]http.HandlerFunc, len(servers))
-	for i := range servers {
-		handlers[i] = func(http.ResponseWriter, *http.Request) {
-			crashes.Add(1)
-			_ = servers[i].Listener.Close()
-			panic(http.ErrAbortHandler)
-		}
-	}
-	b := newTestbed(t)
-	for i, handler := range handlers {
-		servers[i] = httptest.NewServer(handler)
-		t.Cleanup(servers[i].Close)
-		registerEndpoint(t, b.store, fmt.Sprintf("i-%d", i), servers[i].Listener.Addr().String(), false)
-	}
-	waitFor(t, func() bool {
-		b.send(http.MethodPost, "/unsafe/", "r", "poison")
-		return crashes.Load() >= maxCrashes
-	})
-	r := b.send(http.MethodPost, "/unsafe/", "r-last", "poison")
-	assert.Equal(t, r.status, http.StatusServiceUnavailable)
-	assert.Check(t, strings.Contains(r.body, "poison_content"), r.body)
-	assert.Equal(t, crashes.Load(), int64(maxCrashes))
-}
-
 // An address that another endpoint has taken over must get no more requests, as each request
 // sent there costs a retry (fault-injection runs replace servers at their addresses).
 func TestMisdirectingEndpointGetsNoMoreRequests(t *testing.T) {
