Soak: a segment that crashes endpoints while gateways are killed, restarted and suspended

Real gateways, endpoints that refuse connections for half a second after each crash, one fault after another from those of the other soak. Checked: from 4 s after the fifth crash three requests with the segment reach endpoints at most, and all gateways serve sound ones with the same first segment.

--- a/acaciacrash/table.go
+++ b/acaciacrash/table.go
@@ -112,7 +112,8 @@
 }
 
 // Refusal returns the ban for which a request with the traits is refused now; nil if it may
-// run. Requests with a trait whose ban has ended run one at a time.
+// run. Of requests with a trait whose ban has ended, one may run in each trialInterval; a nil
+// result counts as that one.
 func (t *Table) Refusal(traits []Trait, now time.Time) *Ban {
 	for _, trait := range traits {
 		ban := t.bans[trait]
--- a/acaciasystem/gateway_cluster_test.go
+++ b/acaciasystem/gateway_cluster_test.go
@@ -59,6 +59,11 @@
 		// close the connection without an answer.
 		failsRequests bool
 		dropsAnswers  bool
+		// deadlySegment is the prompt segment that crashes the endpoint, if not empty.
+		deadlySegment string
+		// crashes holds the times of the crashes, deadlyRuns those at which a request with the
+		// segment came.
+		crashes, deadlyRuns []time.Time
 		// runTime is how long a run takes.
 		runTime time.Duration
 	}
@@ -70,6 +75,7 @@
 	streamEventCount    = 8
 	streamEventInterval = 5 * time.Millisecond
 	defaultRunTime      = 10 * time.Millisecond
+	downTime            = 500 * time.Millisecond
 )
 
 var fleetCount atomic.Int64
@@ -223,6 +229,12 @@
 		return
 	}
 	e.runCounts[id]++
+	if e.deadlySegment != "" && strings.Contains(r.Header.Get(acaciaplatformstandin.HeaderPrompt), e.deadlySegment) {
+		e.deadlyRuns = append(e.deadlyRuns, time.Now())
+		e.mu.Unlock()
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
 	failsRequests, dropsAnswers, runTime := e.failsRequests, e.dropsAnswers, e.runTime
 	e.mu.Unlock()
 	acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
@@ -239,6 +251,22 @@
 	}
 }
 
+// crash lets the endpoint crash after runTime and start again, under a new ID, after downTime.
+func (e *endpointNode) crash() {
+	time.Sleep(e.runTime)
+	e.mu.Lock()
+	e.crashes = append(e.crashes, time.Now())
+	e.mu.Unlock()
+	e.proxy.refuse()
+	e.proxy.closeConnections()
+	time.AfterFunc(downTime, func() {
+		// Another request may have crashed the endpoint meanwhile, so that it listens already.
+		if e.proxy.listen() == nil {
+			e.registerWithNewID()
+		}
+	})
+}
+
 // writeStream writes numbered events, after the one that Last-Event-Id names if it is sent.
 func (e *endpointNode) writeStream(w http.ResponseWriter, r *http.Request) {
 	firstEvent := 1
--- a/acaciasystem/proxy_test.go
+++ b/acaciasystem/proxy_test.go
@@ -27,18 +27,31 @@
 	// passes.
 	blocked [2]chan struct{}
 	conns   map[net.Conn]bool
+	// listener is nil while the proxy refuses connections.
+	listener net.Listener
 }
 
 func newProxy(t *testing.T, target string) *proxy {
 	t.Helper()
 	p := &proxy{address: freeAddress(t), target: target, conns: map[net.Conn]bool{}}
-	listener, err := net.Listen("tcp", p.address)
-	assert.NilError(t, err)
+	assert.NilError(t, p.listen())
 	t.Cleanup(func() {
-		_ = listener.Close()
+		p.refuse()
 		p.unblock()
 		p.closeConnections()
 	})
+	return p
+}
+
+// listen accepts connections until refuse.
+func (p *proxy) listen() error {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = listener
+	p.mu.Unlock()
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -48,7 +61,17 @@
 			go p.forward(conn)
 		}
 	}()
-	return p
+	return nil
+}
+
+// refuse makes the system refuse new connections until listen.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
 }
 
 func (p *proxy) forward(client net.Conn) {
