--- a/acaciagateway/stream_test.go
+++ b/acaciagateway/stream_test.go
@@ -85,18 +85,24 @@
 	assert.Check(t, r.err != nil, "body %q", r.body)
 }
 
-// A stream that stalls without breaking off must resume on another endpoint.
-func TestStalledStreamResumesOnAnotherEndpoint(t *testing.T) {
-	var starts atomic.Int64
-	handler := func(w http.ResponseWriter, r *http.Request) {
+// stallFirst returns a handler whose first stream stalls after two events and whose second one goes
+// on from there; starts counts them.
+func stallFirst(starts *atomic.Int64, stall http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
 		if starts.Add(1) == 2 {
 			writeEvents(w, 3, 4)
 			return
 		}
 		writeEvents(w, 1, 2)
-		<-r.Context().Done()
+		stall(w, r)
 	}
+}
+
+// A stream that stalls without breaking off must resume on another endpoint.
+func TestStalledStreamResumesOnAnotherEndpoint(t *testing.T) {
+	var starts atomic.Int64
+	handler := stallFirst(&starts, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	b := newTestbed(t, handler, handler)
 	r := b.send(http.MethodPost, "/stream/", "r-1", "")
 	assert.NilError(t, r.err)
@@ -109,19 +115,13 @@
 	for name, drip := range map[string]string{"comments": ": still here\n\n", "bytes of one comment": ":", "empty events": "\n\n"} {
 		t.Run(name, func(t *testing.T) {
 			var starts atomic.Int64
-			handler := func(w http.ResponseWriter, r *http.Request) {
-				acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
-				if starts.Add(1) == 2 {
-					writeEvents(w, 3, 4)
-					return
-				}
-				writeEvents(w, 1, 2)
+			handler := stallFirst(&starts, func(w http.ResponseWriter, r *http.Request) {
 				for r.Context().Err() == nil {
 					_, _ = io.WriteString(w, drip)
 					_ = http.NewResponseController(w).Flush()
 					time.Sleep(50 * time.Millisecond)
 				}
-			}
+			})
 			b := newTestbed(t, handler, handler)
 			r := b.send(http.MethodPost, "/stream/", "r-1", "")
 			assert.NilError(t, r.err)
--- a/acaciasystem/cluster_test.go
+++ b/acaciasystem/cluster_test.go
@@ -2,29 +2,23 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/acaciaroute/acaciaroute"
-	"github.com/acaciaroute/acaciaroute/acaciaevent"
-	"github.com/acaciaroute/acaciaroute/acaciaprocess"
 	"github.com/acaciaroute/acaciaroute/acaciawire"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 )
@@ -265,42 +259,6 @@
 	})
 }
 
-func (c *cluster) startProgram(name, program string, arguments ...string) *exec.Cmd {
-	c.t.Helper()
-	return c.startCommand(name, exec.Command(filepath.Join(binaryDir, program), arguments...))
-}
-
-// startCommand starts a command with a log file under a name; the command is killed at the
-// end of the test.
-func (c *cluster) startCommand(name string, command *exec.Cmd) *exec.Cmd {
-	c.t.Helper()
-	log, err := os.OpenFile(filepath.Join(c.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	assert.NilError(c.t, err)
-	command.Stderr = log
-	command.Stdout = log
-	if file := c.stdout[name]; file != nil {
-		command.Stdout = file
-	}
-	assert.NilError(c.t, command.Start())
-	c.t.Cleanup(func() {
-		_ = command.Process.Signal(syscall.SIGCONT)
-		_ = command.Process.Kill()
-		_, _ = command.Process.Wait()
-		_ = log.Close()
-		if c.t.Failed() {
-			data, _ := os.ReadFile(log.Name())
-			c.t.Logf("%s:\n%s", name, logTail(data))
-		}
-	})
-	return command
-}
-
-// logTail returns the last bytes of a log.
-func logTail(data []byte) []byte {
-	const maxBytes = 1500
-	return data[max(0, len(data)-maxBytes):]
-}
-
 // setVM adds a VM to the platform's VM list or replaces its entry there.
 func (c *cluster) setVM(vm acaciaroute.VM) {
 	c.t.Helper()
@@ -339,83 +297,6 @@
 	return append(append(append([]*node(nil), c.entries...), c.engines...), c.plainNodes...)
 }
 
-func (c *cluster) status(n *node) (*acaciawire.StatusReply, error) {
-	clients := acaciaprocess.NewClients()
-	defer clients.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	return clients.Peer(n.vm.Address).Status(ctx, &acaciawire.StatusRequest{})
-}
-
-// awaitStatus waits until the status of every process meets a condition.
-func (c *cluster) awaitStatus(condition func(*acaciawire.StatusReply) bool) {
-	c.t.Helper()
-	waitFor(c.t, func() bool {
-		for _, n := range c.nodes() {
-			reply, err := c.status(n)
-			if err != nil || !condition(reply) {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-// events returns the events of all processes that answer.
-func (c *cluster) events() []acaciaevent.Event {
-	c.t.Helper()
-	clients := acaciaprocess.NewClients()
-	defer clients.Close()
-	var events []acaciaevent.Event
-	for _, n := range c.nodes() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		reply, err := clients.Peer(n.vm.Address).Events(ctx, &acaciawire.EventsRequest{})
-		cancel()
-		if err != nil {
-			continue
-		}
-		for _, data := range reply.Events {
-			event, err := acaciaevent.Decode(data)
-			assert.NilError(c.t, err)
-			events = append(events, event)
-		}
-	}
-	return events
-}
-
-// runCounts returns how often each request reached the endpoints of nodes: by request ID for
-// engines, by request body for plain endpoints.
-func (c *cluster) runCounts(nodes []*node) map[string]int {
-	c.t.Helper()
-	total := map[string]int{}
-	for _, n := range nodes {
-		response, err := c.client.Get("http://" + n.endpointAddr + "/runs")
-		if err != nil {
-			continue
-		}
-		var counts map[string]int
-		assert.NilError(c.t, json.NewDecoder(response.Body).Decode(&counts))
-		assert.NilError(c.t, response.Body.Close())
-		for id, count := range counts {
-			total[id] += count
-		}
-	}
-	return total
-}
-
-// freeAddress returns an address that is used once in a test run: its loopback IP belongs to
-// this run, and its port is below the kernel's ephemeral range. The port is not probed by
-// listening on it: a process that another test forks at that moment would inherit the
-// listening socket until its exec and so keep the port in use.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	port := firstPort + int(lastPort.Add(1))
-	assert.Assert(t, port < firstEphemeralPort, "no unused port is left below the ephemeral range")
-	pid := os.Getpid()
-	ip := net.IPv4(127, byte(128|pid>>16&0x3f), byte(pid>>8), byte(pid))
-	return net.JoinHostPort(ip.String(), strconv.Itoa(port))
-}
-
 // setFault sets the faults of a stand-in program; an empty object clears them.
 func (c *cluster) setFault(address, body string) {
 	c.t.Helper()
@@ -423,29 +304,3 @@
 	assert.NilError(c.t, err)
 	assert.NilError(c.t, response.Body.Close())
 }
-
-// sendSignal sends a signal to a VM's process; after SIGSTOP it waits until the process is
-// suspended.
-func (n *node) sendSignal(t *testing.T, signal syscall.Signal) {
-	t.Helper()
-	assert.NilError(t, n.process.Process.Signal(signal))
-	if signal == syscall.SIGSTOP {
-		awaitSuspended(t, n.process)
-	}
-}
-
-// killProcess ends a process with SIGKILL and waits for it.
-func killProcess(t *testing.T, command *exec.Cmd) {
-	t.Helper()
-	assert.NilError(t, command.Process.Kill())
-	_, _ = command.Process.Wait()
-}
-
-// stopProcess ends a process with SIGTERM, waits for it and checks its exit status.
-func stopProcess(t *testing.T, command *exec.Cmd) {
-	t.Helper()
-	assert.NilError(t, command.Process.Signal(syscall.SIGTERM))
-	state, err := command.Process.Wait()
-	assert.NilError(t, err)
-	assert.Check(t, state.Success(), "exit: %s", state)
-}
