--- a/acaciagateway/crash_test.go
+++ b/acaciagateway/crash_test.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	soundPrompt = "a1:100,%x:100"
-	deadlyPart  = "bad"
-	deadPrompt  = "a1:100," + deadlyPart + ":100,%x:100"
+	harmlessPrompt  = "a1:100,%x:100"
+	crashingSegment = "bad"
+	crashingPrompt  = "a1:100," + crashingSegment + ":100,%x:100"
 )
 
 // crashingEndpoints are endpoints that crash for good when they run certain requests.
@@ -46,6 +46,11 @@
 	}
 }
 
+func hasCrashingSegment(r *http.Request) bool {
+	return strings.Contains(r.Header.Get(acaciaplatformstandin.HeaderPrompt), crashingSegment)
+}
+
+// promptRequest sends a request with a prompt, which is its body, too.
 func promptRequest(t *testing.T, url, id, prompt string) testResponse {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPost, url+"/unsafe/", strings.NewReader(prompt))
@@ -55,17 +60,14 @@
 	return doRequest(request)
 }
 
-// Requests that share one segment of their prompts, and nothing else that the others have not,
-// crashed one endpoint after another (24 of 9 that came back, on a day of the users' bench).
-// Those without it must be served as before, also by the gateway that has seen no crash.
-func TestRequestsThatShareDeadlySegmentAreRefused(t *testing.T) {
+// Requests that share only one segment of their prompts crashed one endpoint after another. Those
+// without it must be served as before, also by a gateway that has seen no crash.
+func TestRequestsThatShareCrashingSegmentAreRefused(t *testing.T) {
 	const endpoints, maxCrashed = 8, 5
 	b := newTestbed(t)
 	other, otherURL := startGateway(t, b.gateway.settings.StoreURL, "g-2", []string{b.gateway.settings.PeerAddress})
 	var e crashingEndpoints
-	e.add(b, endpoints, func(r *http.Request) bool {
-		return strings.Contains(r.Header.Get(acaciaplatformstandin.HeaderPrompt), deadlyPart)
-	})
+	e.add(b, endpoints, hasCrashingSegment)
 	urls := []string{b.url, otherURL}
 	waitFor(t, func() bool {
 		return len(b.gateway.endpointIDs()) == endpoints && len(other.endpointIDs()) == endpoints
@@ -75,7 +77,7 @@
 	waitFor(t, func() bool {
 		number++
 		url := urls[number%len(urls)]
-		r := promptRequest(t, url, fmt.Sprint("d-", number), fmt.Sprintf(deadPrompt, number))
+		r := promptRequest(t, url, fmt.Sprint("d-", number), fmt.Sprintf(crashingPrompt, number))
 		refused[url] = refused[url] || strings.Contains(r.body, "poison_content")
 		assert.Assert(t, e.crashes.Load() <= maxCrashed, "%d endpoints crashed", e.crashes.Load())
 		return len(refused) == len(urls) && refused[b.url] && refused[otherURL]
@@ -83,8 +85,8 @@
 	crashes := e.crashes.Load()
 	for i := range 20 {
 		url := urls[i%len(urls)]
-		assert.Equal(t, promptRequest(t, url, fmt.Sprint("s-", i), fmt.Sprintf(soundPrompt, i)).status, http.StatusOK)
-		r := promptRequest(t, url, fmt.Sprint("e-", i), fmt.Sprintf(deadPrompt, 1000+i))
+		assert.Equal(t, promptRequest(t, url, fmt.Sprint("s-", i), fmt.Sprintf(harmlessPrompt, i)).status, http.StatusOK)
+		r := promptRequest(t, url, fmt.Sprint("e-", i), fmt.Sprintf(crashingPrompt, 1000+i))
 		assert.Equal(t, r.status, http.StatusServiceUnavailable)
 		assert.Check(t, r.header.Get("Retry-After") != "")
 	}
@@ -112,14 +114,12 @@
 func TestNewGatewayLearnsWhatCrashesEndpoints(t *testing.T) {
 	b := newTestbed(t)
 	var e crashingEndpoints
-	e.add(b, 4, func(r *http.Request) bool {
-		return strings.Contains(r.Header.Get(acaciaplatformstandin.HeaderPrompt), deadlyPart)
-	})
+	e.add(b, 4, hasCrashingSegment)
 	waitFor(t, func() bool { return len(b.gateway.endpointIDs()) == 4 })
 	number := 0
 	waitFor(t, func() bool {
 		number++
-		r := promptRequest(t, b.url, fmt.Sprint("d-", number), fmt.Sprintf(deadPrompt, number))
+		r := promptRequest(t, b.url, fmt.Sprint("d-", number), fmt.Sprintf(crashingPrompt, number))
 		return strings.Contains(r.body, "poison_content")
 	})
 	crashes := e.crashes.Load()
@@ -129,7 +129,7 @@
 		newcomer.loop.Do(func() { bans = len(newcomer.crashes.Bans()) })
 		return bans > 0
 	})
-	r := promptRequest(t, url, "e", fmt.Sprintf(deadPrompt, 1000))
+	r := promptRequest(t, url, "e", fmt.Sprintf(crashingPrompt, 1000))
 	assert.Check(t, strings.Contains(r.body, "poison_content"), r.body)
 	assert.Equal(t, e.crashes.Load(), crashes)
 }
@@ -146,14 +146,14 @@
 	defer close(release)
 	const slots = 3
 	for i := range slots {
-		go func() { promptRequest(t, b.url, fmt.Sprint("s-", i), fmt.Sprintf(soundPrompt, i)) }()
+		go func() { promptRequest(t, b.url, fmt.Sprint("s-", i), fmt.Sprintf(harmlessPrompt, i)) }()
 	}
 	for range slots {
 		<-started
 	}
 	waiting := make(chan testResponse, 1)
 	go func() {
-		waiting <- promptRequest(t, b.url, "d", fmt.Sprintf(deadPrompt, 7))
+		waiting <- promptRequest(t, b.url, "d", fmt.Sprintf(crashingPrompt, 7))
 	}()
 	g := b.gateway
 	waitFor(t, func() bool {
--- a/acaciasystem/gateway_cluster_test.go
+++ b/acaciasystem/gateway_cluster_test.go
@@ -59,11 +59,11 @@
 		// close the connection without an answer.
 		failsRequests bool
 		dropsAnswers  bool
-		// deadlySegment is the prompt segment that crashes the endpoint, if not empty.
-		deadlySegment string
-		// crashes holds the times of the crashes, deadlyRuns those at which a request with the
+		// crashingSegment is the prompt segment that crashes the endpoint, if not empty.
+		crashingSegment string
+		// crashes holds the times of the crashes, crashingRuns those at which a request with the
 		// segment came.
-		crashes, deadlyRuns []time.Time
+		crashes, crashingRuns []time.Time
 		// runTime is how long a run takes.
 		runTime time.Duration
 	}
@@ -229,8 +229,8 @@
 		return
 	}
 	e.runCounts[id]++
-	if e.deadlySegment != "" && strings.Contains(r.Header.Get(acaciaplatformstandin.HeaderPrompt), e.deadlySegment) {
-		e.deadlyRuns = append(e.deadlyRuns, time.Now())
+	if e.crashingSegment != "" && strings.Contains(r.Header.Get(acaciaplatformstandin.HeaderPrompt), e.crashingSegment) {
+		e.crashingRuns = append(e.crashingRuns, time.Now())
 		e.mu.Unlock()
 		e.crash()
 		panic(http.ErrAbortHandler)
--- a/acaciasystem/gateway_crash_soak_test.go
+++ b/acaciasystem/gateway_crash_soak_test.go
@@ -23,13 +23,13 @@
 	crashesBeforeBan = 5
 	maxRunsAfterBan  = 3
 	banSettleTime    = 4 * time.Second
-	deadlySegment    = "bad"
+	crashingSegment  = "bad"
 )
 
-// TestGatewaysRefuseDeadlySegmentUnderRandomFaults sends requests with a segment that crashes
-// endpoints, and sound ones, while gateways are killed, restarted and suspended and endpoints
+// TestGatewaysRefuseCrashingSegmentUnderRandomFaults sends requests with a segment that crashes
+// endpoints, and harmless ones, while gateways are killed, restarted and suspended and endpoints
 // fail; -soak.seed and -soak.seeds select the seeds.
-func TestGatewaysRefuseDeadlySegmentUnderRandomFaults(t *testing.T) {
+func TestGatewaysRefuseCrashingSegmentUnderRandomFaults(t *testing.T) {
 	t.Parallel()
 	runSeeds(t, runCrashSoak)
 }
@@ -38,7 +38,7 @@
 	f := newFleet(t, 3, 6)
 	for _, e := range f.endpoints {
 		e.mu.Lock()
-		e.deadlySegment = deadlySegment
+		e.crashingSegment = crashingSegment
 		e.mu.Unlock()
 	}
 	end := time.Now().Add(crashSoakDuration)
@@ -57,7 +57,7 @@
 			for n := 0; time.Now().Before(end); n++ {
 				prompt := fmt.Sprintf("a1:10,%x:10", n*gatewayCallerCount+i)
 				if i == 0 {
-					prompt = fmt.Sprintf("a1:10,%s:10,%x:10", deadlySegment, n)
+					prompt = fmt.Sprintf("a1:10,%s:10,%x:10", crashingSegment, n)
 				}
 				f.sendPrompt(pickRandom(f.gateways, random), fmt.Sprintf("%d-%d-%d", seed, i, n), prompt)
 				time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
@@ -65,11 +65,11 @@
 		})
 	}
 	group.Wait()
-	f.checkDeadlyRuns()
+	f.checkCrashingRuns()
 	f.checkGatewaysServe()
 	for i, g := range f.gateways {
-		status := f.sendPrompt(g, fmt.Sprint("sound-", i), fmt.Sprintf("a1:10,%x:10", i))
-		assert.Check(t, status == http.StatusOK, "%s answers %d to a sound request", g.name, status)
+		status := f.sendPrompt(g, fmt.Sprint("harmless-", i), fmt.Sprintf("a1:10,%x:10", i))
+		assert.Check(t, status == http.StatusOK, "%s answers %d to a harmless request", g.name, status)
 	}
 }
 
@@ -89,13 +89,13 @@
 	return response.StatusCode
 }
 
-// checkDeadlyRuns checks how many requests with the deadly segment reached endpoints after it had
+// checkCrashingRuns checks how many requests with that segment reached endpoints after it had
 // crashed several.
-func (f *fleet) checkDeadlyRuns() {
+func (f *fleet) checkCrashingRuns() {
 	var crashes, runs []time.Time
 	for _, e := range f.endpoints {
 		e.mu.Lock()
-		crashes, runs = append(crashes, e.crashes...), append(runs, e.deadlyRuns...)
+		crashes, runs = append(crashes, e.crashes...), append(runs, e.crashingRuns...)
 		e.mu.Unlock()
 	}
 	f.t.Logf("%d crashes, %d requests with the segment at endpoints", len(crashes), len(runs))
