--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -196,7 +196,7 @@
 		g.quota.RemovePeer(message.Process)
 		g.near.crashes.SendAll()
 		g.far.crashes.SendAll()
-		g.scheduler.TellLimits(now)
+		g.scheduler.ReportLimits(now)
 		g.recorder.Record(acaciaevent.Event{Kind: acaciaevent.PeerFound, Detail: message.Process, Endpoint: from})
 		g.scheduleBroadcast()
 	case acaciapeer.EffectUpdated:
--- a/acaciaschedule/limit.go
+++ b/acaciaschedule/limit.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// Load pattern: a few endpoints in need name a rate of requests, far below what they ran until
-// then, while all processes send to them. Each process knows the use of the others late, and
-// together they must keep the rate.
+// Load pattern: overloaded endpoints announce rate limits far below what they ran until then, while
+// many processes send to them. Each process hears late of what the others send, and all of them
+// together must stay within the limit.
 
 type (
-	// RateLimit is what an endpoint says of the requests that it accepts from all processes
+	// RateLimit is the limit that an endpoint announces for the requests of all processes
 	// together.
 	RateLimit struct {
 		Limited bool
@@ -19,10 +19,10 @@
 		Rate float64
 	}
 
-	// EndpointLimit is a limit that a process tells the others.
+	// EndpointLimit is a limit in a report to the other processes.
 	EndpointLimit struct {
 		RateLimit
-		// AnsweredAt is when the answer came that named it.
+		// AnsweredAt is when the answer that announced it arrived.
 		AnsweredAt time.Time
 	}
 
@@ -30,8 +30,8 @@
 	rateLimiter struct {
 		RateLimit
 		answeredAt time.Time
-		// tellUntil is until when the limit is told to the other processes.
-		tellUntil time.Time
+		// reportUntil is until when reports to the other processes hold the limit.
+		reportUntil time.Time
 		// share is this process's part of the rate, tokens the number of requests that it may
 		// send; they are as of refilledAt.
 		share      float64
@@ -41,20 +41,20 @@
 )
 
 const (
-	// minLimitRate is the rate, in requests a second, at which an endpoint is asked that accepts
-	// fewer: without answers it could never name another limit.
+	// minLimitRate is the least rate, in requests a second, at which a limited endpoint gets
+	// requests: without answers it could never announce another limit.
 	minLimitRate = 0.2
-	// tokenLifetime is how long a token is kept, in intervals between two requests at the
-	// endpoint's rate. An unused one is lost, so that few processes have one at a time and an
-	// idle endpoint does not get a request from each of them at once.
+	// tokenLifetime is how long a token is valid, as a multiple of the interval between requests
+	// at the endpoint's rate. Unused tokens expire, so that few processes hold one at a time and
+	// an idle endpoint does not get a request from each of them at once.
 	tokenLifetime = 2
 	// limitShareMemory is the time constant with which a process's share follows its load.
 	limitShareMemory = time.Second
 	// minDemand is the demand of a process without requests, so that all get some share.
 	minDemand = 0.5
-	// limitTellTime is how long a changed limit is told to the other processes. The messages to
-	// other regions are some of those sent in that time.
-	limitTellTime = 500 * time.Millisecond
+	// limitReportTime is how long reports hold a changed limit: other regions get only some of
+	// the reports.
+	limitReportTime = 500 * time.Millisecond
 )
 
 // String returns the limit as events show it.
@@ -65,22 +65,22 @@
 	return strconv.FormatFloat(l.Rate, 'g', -1, 64) + " requests a second"
 }
 
-// RecordRateLimit records what the answer to a request says of the endpoint's limit, and reports
-// whether that is new.
+// RecordRateLimit records the limit that the answer to a request announces, or that it announces
+// none, and reports whether that is new.
 func (s *Scheduler) RecordRateLimit(request *Request, limit RateLimit, now time.Time) bool {
 	e := request.endpoint
 	if e == nil || !s.setLimit(e, EndpointLimit{limit, now}, now) {
 		return false
 	}
-	e.limiter.tellUntil = now.Add(limitTellTime)
+	e.limiter.reportUntil = now.Add(limitReportTime)
 	return true
 }
 
-// TellLimits tells all limits again, because a process has joined that knows none.
-func (s *Scheduler) TellLimits(now time.Time) {
+// ReportLimits puts all limits into the next reports, because a process has joined that knows none.
+func (s *Scheduler) ReportLimits(now time.Time) {
 	for _, e := range s.endpointsByKey {
 		if e.limiter.Limited {
-			e.limiter.tellUntil = now.Add(limitTellTime)
+			e.limiter.reportUntil = now.Add(limitReportTime)
 		}
 	}
 }
@@ -91,7 +91,7 @@
 	s.reachableShare = share
 }
 
-// setLimit applies a limit that an endpoint has named, unless a later answer is known, and
+// setLimit applies a limit that an endpoint has announced, unless a later answer is known, and
 // reports whether it changes anything.
 func (s *Scheduler) setLimit(e *endpoint, limit EndpointLimit, now time.Time) bool {
 	l := &e.limiter
@@ -111,7 +111,7 @@
 	return true
 }
 
-// limitedSlots returns how many of the free slots of an endpoint its limit lets this process use.
+// limitedSlots returns how many of an endpoint's free slots this process may use within the limit.
 func (s *Scheduler) limitedSlots(e *endpoint, free int, now time.Time) int {
 	if !e.limiter.Limited {
 		return free
@@ -171,12 +171,12 @@
 	return min(slots, e.limiter.Rate*holdTime.Seconds())
 }
 
-// limitsToTell returns the limits for the next report.
-func (s *Scheduler) limitsToTell(now time.Time) map[EndpointKey]EndpointLimit {
+// limitsToReport returns the limits for the next report.
+func (s *Scheduler) limitsToReport(now time.Time) map[EndpointKey]EndpointLimit {
 	var limits map[EndpointKey]EndpointLimit
 	for key, e := range s.endpointsByKey {
 		l := &e.limiter
-		if !now.Before(l.tellUntil) {
+		if !now.Before(l.reportUntil) {
 			continue
 		}
 		if limits == nil {
--- a/acaciaschedule/limit_test.go
+++ b/acaciaschedule/limit_test.go
@@ -13,7 +13,7 @@
 
 type (
 	// limitRun plays requests of several processes in two regions, which hear of each other
-	// late, to endpoints of which some name a limit.
+	// late, to endpoints of which some announce a limit.
 	limitRun struct {
 		processes   int
 		endpoints   int
@@ -109,7 +109,7 @@
 func (b *limitBed) restartFirst(at time.Duration) {
 	b.processes[0] = b.newProcess(0)
 	for _, other := range b.processes[1:] {
-		other.TellLimits(start.Add(at))
+		other.ReportLimits(start.Add(at))
 	}
 }
 
@@ -167,9 +167,9 @@
 	return most
 }
 
-// Endpoints that named a limit got up to 3.75 times as many requests from all processes together (a
-// day of the users' bench: 60 in 4 s at 4 a second). The limit must be kept by few processes
-// and by many, whatever share of the endpoints names one, and must be used.
+// Endpoints that announced a rate limit got several times as many requests from all processes
+// together. Few processes and many must keep to it, and use it, whatever share of the endpoints
+// announces one.
 func TestLimitOfEndpointIsKeptByAllProcesses(t *testing.T) {
 	const window, settled = 4 * time.Second, 4 * time.Second
 	for _, run := range []limitRun{
@@ -195,8 +195,8 @@
 	}
 }
 
-// After a pause, each process could send at once what had been saved up meanwhile.
-func TestIdleLimitIsNotSavedUp(t *testing.T) {
+// After a pause, all processes could send at once with the tokens that they had accumulated.
+func TestTokensDoNotAccumulateWhileIdle(t *testing.T) {
 	const processes, rate = 40, 1.0
 	sent := 0
 	for i := range processes {
@@ -217,7 +217,7 @@
 }
 
 // The newest answer counts, whichever process got it; an answer without a limit ends it.
-func TestNewestAnswerNamesTheLimit(t *testing.T) {
+func TestNewestAnswerSetsTheLimit(t *testing.T) {
 	s := newScheduler()
 	addEndpoint(s, "i-1", "a", 4)
 	e := s.endpointsByID["i-1"]
@@ -235,12 +235,12 @@
 	assert.Equal(t, e.limiter.RateLimit, RateLimit{})
 	built := s.BuildReport(atMillis(350))
 	assert.DeepEqual(t, built.Limits, map[EndpointKey]EndpointLimit{KeyOf("i-1"): {RateLimit{}, atMillis(300)}})
-	assert.Equal(t, len(s.BuildReport(atMillis(300).Add(limitTellTime)).Limits), 0)
+	assert.Equal(t, len(s.BuildReport(atMillis(300).Add(limitReportTime)).Limits), 0)
 }
 
-// An endpoint that accepts nothing must be asked now and then, or it could never say that it
-// accepts requests again.
-func TestEndpointThatAcceptsNothingIsAskedAgain(t *testing.T) {
+// An endpoint whose limit is zero must get a request now and then, or it could never announce
+// another limit.
+func TestEndpointWithZeroLimitGetsProbes(t *testing.T) {
 	s := newScheduler()
 	addEndpoint(s, "i-1", "a", 4)
 	assert.Check(t, s.setLimit(s.endpointsByID["i-1"], EndpointLimit{RateLimit{Limited: true}, atMillis(1)}, atMillis(1)))
--- a/acaciaschedule/peer.go
+++ b/acaciaschedule/peer.go
@@ -40,7 +40,7 @@
 		// UnreachableEndpoints lists the endpoints to which the process recently failed to
 		// connect.
 		UnreachableEndpoints []EndpointKey
-		// Limits holds the limits that endpoints have newly named, or named no more.
+		// Limits holds the limits that endpoints have newly announced or withdrawn.
 		Limits map[EndpointKey]EndpointLimit
 		// Heads holds the queue positions of its first waiting requests per service.
 		Heads map[string][]QueuePosition
@@ -168,7 +168,7 @@
 func (s *Scheduler) BuildReport(now time.Time) Report {
 	report := Report{
 		Loads: map[EndpointKey]EndpointLoad{}, Prompts: s.sentPrompts,
-		Waiting: map[string]map[int]int{}, Heads: map[string][]QueuePosition{}, Limits: s.limitsToTell(now),
+		Waiting: map[string]map[int]int{}, Heads: map[string][]QueuePosition{}, Limits: s.limitsToReport(now),
 	}
 	s.sentPrompts = nil
 	for key, e := range s.endpointsByKey {
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -211,11 +211,8 @@
 }
 
 func (s *Scheduler) freeSlotsOfService(svc *service, now time.Time) int {
-	n := 0
-	for _, e := range svc.endpoints {
-		n += s.freeSlots(e, now)
-	}
-	return n
+	shared, own := s.freeSlotsByOwner(svc, now)
+	return shared + own
 }
 
 // freeSlotsByOwner returns the number of free slots of a service that all processes may use, and of
