--- a/acaciagateway/metrics.go
+++ b/acaciagateway/metrics.go
@@ -20,6 +20,7 @@
 	processes            prometheus.Gauge
 	configurationVersion prometheus.Gauge
 	bannedTraits         prometheus.Gauge
+	limitedEndpoints     prometheus.Gauge
 }
 
 // NewMetrics returns metrics in a registry of their own, in which others are registered too.
@@ -49,8 +50,11 @@
 		bannedTraits: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "acaciaroute_gateway_banned", Help: "Prompt segments and contents that crashed endpoints and are refused.",
 		}),
+		limitedEndpoints: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "acaciaroute_gateway_limited_endpoints", Help: "Endpoints that announce a limit of requests a second.",
+		}),
 	}
-	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.bannedTraits)
+	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.bannedTraits, m.limitedEndpoints)
 	m.registry.MustRegister(others...)
 	return m
 }
@@ -79,6 +83,7 @@
 	m.waitingRequests.Set(float64(len(g.waiters)))
 	m.processes.Set(float64(g.members.Count()))
 	m.bannedTraits.Set(float64(len(g.crashes.Bans())))
+	m.limitedEndpoints.Set(float64(g.scheduler.CountLimited()))
 	if current := g.configuration.Load(); current != nil {
 		m.configurationVersion.Set(float64(current.Version))
 	}
