--- a/acaciagateway/crash.go
+++ b/acaciagateway/crash.go
@@ -131,8 +131,9 @@
 	event.KeyHash = fmt.Sprintf("%016x", uint64(x.traits[len(x.traits)-1]))
 	event.Inputs = x.eventInputs(nil)
 	event.Inputs.PromptSegments = x.segmentNames()
-	x.gateway.recorder.Record(event)
 	g := x.gateway
+	g.recorder.Record(event)
+	g.metrics.endpointCrashes.WithLabelValues(x.service).Inc()
 	crash := crashKey(x.endpoint)
 	g.loop.Post(func() {
 		call, unproven := g.unprovenCalls[x]
--- a/acaciagateway/crash_test.go
+++ b/acaciagateway/crash_test.go
@@ -131,6 +131,8 @@
 	})
 	r := promptRequest(t, url, "e", fmt.Sprintf(crashingPrompt, 1000))
 	assert.Check(t, strings.Contains(r.body, "poison_content"), r.body)
+	want := fmt.Sprintf("acaciaroute_gateway_endpoint_crashes_total{service=%q} %d", acaciaplatformstandin.Service, crashes)
+	assert.Check(t, strings.Contains(b.metrics(), want), b.metrics())
 	assert.Equal(t, e.crashes.Load(), crashes)
 }
 
--- a/acaciagateway/metrics.go
+++ b/acaciagateway/metrics.go
@@ -21,6 +21,7 @@
 	configurationVersion prometheus.Gauge
 	bannedTraits         prometheus.Gauge
 	limitedEndpoints     prometheus.Gauge
+	endpointCrashes      *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics in a registry of their own, in which others are registered too.
@@ -53,8 +54,11 @@
 		limitedEndpoints: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "acaciaroute_gateway_limited_endpoints", Help: "Endpoints that announce a limit of requests a second.",
 		}),
+		endpointCrashes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciaroute_gateway_endpoint_crashes_total", Help: "Requests that broke off because their endpoint crashed, by service.",
+		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.bannedTraits, m.limitedEndpoints)
+	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.bannedTraits, m.limitedEndpoints, m.endpointCrashes)
 	m.registry.MustRegister(others...)
 	return m
 }
--- a/acaciagateway/testbed_test.go
+++ b/acaciagateway/testbed_test.go
@@ -115,6 +115,14 @@
 	return doRequest(request)
 }
 
+// metrics returns what the gateway's metrics address serves.
+func (b *testbed) metrics() string {
+	b.t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+b.gateway.settings.MetricsAddress+"/metrics", nil)
+	assert.NilError(b.t, err)
+	return doRequest(request).body
+}
+
 func doRequest(request *http.Request) testResponse {
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
