--- /dev/null
+++ b/acaciagateway/follow.go
@@ -0,0 +1,128 @@
+package acaciagateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
+)
+
+type (
+	// topicFollower reads one topic of the store: first a snapshot with the newest record of
+	// every key, then the changes after it.
+	topicFollower struct {
+		gateway *Gateway
+		topic   acaciaplatform.Topic
+		// longPollTimeout is how long the store may wait for a change before it responds,
+		// pollInterval the pause between two calls.
+		longPollTimeout time.Duration
+		pollInterval    time.Duration
+		// onSnapshot is called with the newest record of every key, onChanges with the changes
+		// after it.
+		onSnapshot func(changes []acaciaplatform.Change)
+		onChanges  func(changes []acaciaplatform.Change)
+		// onStoreState, if set, is called after every read; down reports whether it failed.
+		onStoreState func(down bool)
+
+		dependency *acaciaevent.Dependency
+	}
+)
+
+const (
+	// meanRetryDelay is the mean of the random delay after a failed call.
+	meanRetryDelay = 150 * time.Millisecond
+)
+
+// run follows the topic until ctx ends.
+func (f *topicFollower) run(ctx context.Context) {
+	f.dependency = acaciaevent.NewDependency(f.gateway.recorder, "store: "+string(f.topic))
+	for ctx.Err() == nil {
+		f.recordResult(f.readTopic(ctx))
+		sleep(ctx, rand.N(2*meanRetryDelay))
+	}
+}
+
+// readTopic reads a snapshot and then changes. It returns when ctx ends or the store has
+// trimmed changes that were not read yet; after other failures it retries.
+func (f *topicFollower) readTopic(ctx context.Context) error {
+	changes, offset, err := f.readSnapshot(ctx)
+	if err != nil {
+		return err
+	}
+	f.recordResult(nil)
+	f.onSnapshot(changes)
+	// A snapshot of many pages takes long to read, so the changes made meanwhile are read
+	// without a pause.
+	for ctx.Err() == nil {
+		changes, nextOffset, err := f.gateway.store.Changes(ctx, f.topic, offset, f.longPollTimeout)
+		var codedErr *acaciaroute.Error
+		if errors.As(err, &codedErr) && codedErr.Code == acaciaroute.CodeLogTrimmed {
+			return err
+		}
+		f.recordResult(err)
+		if err != nil {
+			sleep(ctx, rand.N(2*meanRetryDelay))
+			continue
+		}
+		offset = nextOffset
+		f.onChanges(changes)
+		sleep(ctx, f.pollInterval)
+	}
+	return nil
+}
+
+// readSnapshot reads the newest record of every key, page by page, and retries a page whose
+// call fails.
+//
+// Load pattern: hundreds of processes start at once and the store refuses most calls. A
+// process that started again from the first page after each failure would hardly ever reach
+// the last one.
+func (f *topicFollower) readSnapshot(ctx context.Context) ([]acaciaplatform.Change, acaciaroute.Offset, error) {
+	var changes []acaciaplatform.Change
+	var endOffset acaciaroute.Offset
+	for lastKey := ""; ctx.Err() == nil; {
+		page, err := f.gateway.store.Newest(ctx, f.topic, lastKey)
+		if err != nil {
+			f.recordResult(err)
+			sleep(ctx, rand.N(2*meanRetryDelay))
+			continue
+		}
+		changes = append(changes, page.Changes...)
+		if lastKey == "" {
+			endOffset = page.End
+		}
+		if !page.More {
+			return changes, endOffset, nil
+		}
+		lastKey = page.LastKey
+	}
+	return nil, 0, ctx.Err()
+}
+
+// recordResult records whether a read of the store succeeded.
+func (f *topicFollower) recordResult(err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	f.dependency.RecordResult(err)
+	if f.onStoreState != nil {
+		f.onStoreState(err != nil)
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
