Log eras of the store and versions that are passed over

A confirmed version was never in force after the store had come back from a copy. No line told whether gateways went on at an offset of the lost part, or read the version and passed it over.

The client now returns the era of each read with its position; a change is logged with the offset and the topic's end (store_restored) and shown as a gauge, a version that isn't newer than the one in force is logged (configuration_outdated). No decision changes.

--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -49,6 +49,8 @@
 	ConfigurationRefused Kind = 402
 	ConfigurationLearned Kind = 403
 	ConfigurationKept    Kind = 404
+	// ConfigurationOutdated marks a version that is not newer than the one in force.
+	ConfigurationOutdated Kind = 405
 
 	LogDown     Kind = 501
 	LogUp       Kind = 502
@@ -72,6 +74,8 @@
 	PeerLost       Kind = 520
 	// EndpointLimited marks a change of the rate of requests that an endpoint accepts.
 	EndpointLimited Kind = 521
+	// StoreRestored marks the first read after the store was restored from a copy.
+	StoreRestored Kind = 522
 
 	LeaseTaken   Kind = 601
 	OrderIssued  Kind = 602
@@ -122,10 +126,11 @@
 	KeyConflict:  "key_conflict",
 	KeyUndecided: "key_undecided",
 
-	ConfigurationApplied: "configuration_applied",
-	ConfigurationRefused: "configuration_refused",
-	ConfigurationLearned: "configuration_learned",
-	ConfigurationKept:    "configuration_kept",
+	ConfigurationApplied:  "configuration_applied",
+	ConfigurationRefused:  "configuration_refused",
+	ConfigurationLearned:  "configuration_learned",
+	ConfigurationKept:     "configuration_kept",
+	ConfigurationOutdated: "configuration_outdated",
 
 	LogDown:     "log_down",
 	LogUp:       "log_up",
@@ -148,6 +153,7 @@
 	PeerFound:       "peer_found",
 	PeerLost:        "peer_lost",
 	EndpointLimited: "endpoint_limited",
+	StoreRestored:   "store_restored",
 
 	LeaseTaken:   "lease_taken",
 	OrderIssued:  "order_issued",
--- a/acaciagateway/follow.go
+++ b/acaciagateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -49,7 +50,7 @@
 // readTopic reads a snapshot and then changes. It returns when ctx ends or the store has
 // trimmed changes that were not read yet; after other failures it retries.
 func (f *topicFollower) readTopic(ctx context.Context) error {
-	changes, offset, err := f.readSnapshot(ctx)
+	changes, position, err := f.readSnapshot(ctx)
 	if err != nil {
 		return err
 	}
@@ -58,7 +59,7 @@
 	// A snapshot of many pages takes long to read, so the changes made meanwhile are read
 	// without a pause.
 	for ctx.Err() == nil {
-		changes, nextOffset, err := f.gateway.store.Changes(ctx, f.topic, offset, f.longPollTimeout)
+		batch, err := f.gateway.store.Changes(ctx, f.topic, position, f.longPollTimeout)
 		var codedErr *acaciaroute.Error
 		if errors.As(err, &codedErr) && codedErr.Code == acaciaroute.CodeLogTrimmed {
 			return err
@@ -68,8 +69,10 @@
 			sleep(ctx, rand.N(2*meanRetryDelay))
 			continue
 		}
-		offset = nextOffset
-		f.onChanges(changes)
+		f.gateway.metrics.storeEra.Set(float64(batch.Next.Era))
+		f.recordRestore(position, batch)
+		position = batch.Next
+		f.onChanges(batch.Changes)
 		sleep(ctx, f.pollInterval)
 	}
 	return nil
@@ -81,9 +84,9 @@
 // Load pattern: hundreds of processes start at once and the store refuses most calls. A
 // process that started again from the first page after each failure would hardly ever reach
 // the last one.
-func (f *topicFollower) readSnapshot(ctx context.Context) ([]acaciaplatform.Change, acaciaroute.Offset, error) {
+func (f *topicFollower) readSnapshot(ctx context.Context) ([]acaciaplatform.Change, acaciaplatform.Position, error) {
 	var changes []acaciaplatform.Change
-	var endOffset acaciaroute.Offset
+	var end acaciaplatform.Position
 	for lastKey := ""; ctx.Err() == nil; {
 		page, err := f.gateway.store.Newest(ctx, f.topic, lastKey)
 		if err != nil {
@@ -93,14 +96,25 @@
 		}
 		changes = append(changes, page.Changes...)
 		if lastKey == "" {
-			endOffset = page.End
+			end = page.End
 		}
 		if !page.More {
-			return changes, endOffset, nil
+			return changes, end, nil
 		}
 		lastKey = page.LastKey
 	}
-	return nil, 0, ctx.Err()
+	return nil, acaciaplatform.Position{}, ctx.Err()
+}
+
+// recordRestore records that the store was restored from a copy since the previous read.
+func (f *topicFollower) recordRestore(from acaciaplatform.Position, batch acaciaplatform.Batch) {
+	if from.Era == batch.Next.Era {
+		return
+	}
+	f.gateway.recorder.Record(acaciaevent.Event{
+		Kind:   acaciaevent.StoreRestored,
+		Detail: fmt.Sprintf("%s: era %d after %d; read from offset %d, the topic ends at %d", f.topic, batch.Next.Era, from.Era, from.Offset, batch.End),
+	})
 }
 
 // recordResult records whether a read of the store succeeded.
--- a/acaciagateway/follow_test.go
+++ b/acaciagateway/follow_test.go
@@ -47,7 +47,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		changedAt := make(chan time.Time, 1)
 		f := topicFollower{
-			gateway:      &Gateway{store: client.Store(), recorder: recorder},
+			gateway:      &Gateway{store: client.Store(), recorder: recorder, metrics: NewMetrics()},
 			topic:        acaciaplatform.TopicEndpoints,
 			pollInterval: endpointsPollInterval,
 			onSnapshot:   func([]acaciaplatform.Change) {},
--- a/acaciagateway/metrics.go
+++ b/acaciagateway/metrics.go
@@ -19,6 +19,7 @@
 	waitingRequests      prometheus.Gauge
 	processes            prometheus.Gauge
 	configurationVersion prometheus.Gauge
+	storeEra             prometheus.Gauge
 	bannedTraits         prometheus.Gauge
 	limitedEndpoints     prometheus.Gauge
 	endpointCrashes      *prometheus.CounterVec
@@ -48,6 +49,9 @@
 		configurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "acaciaroute_gateway_configuration_version", Help: "Version of the configuration in force.",
 		}),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "acaciaroute_gateway_store_era", Help: "Era of the store; it rises when the store is restored from a copy.",
+		}),
 		bannedTraits: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "acaciaroute_gateway_banned", Help: "Prompt segments and contents that crashed endpoints and are refused.",
 		}),
@@ -58,7 +62,7 @@
 			Name: "acaciaroute_gateway_endpoint_crashes_total", Help: "Requests that broke off because their endpoint crashed, by service.",
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.bannedTraits, m.limitedEndpoints, m.endpointCrashes)
+	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.storeEra, m.bannedTraits, m.limitedEndpoints, m.endpointCrashes)
 	m.registry.MustRegister(others...)
 	return m
 }
--- a/acaciagateway/watch.go
+++ b/acaciagateway/watch.go
@@ -45,14 +45,17 @@
 func (g *Gateway) applyConfiguration(loaded *loadedConfiguration, source string) {
 	loaded.loadedAt = time.Now()
 	g.loop.Do(func() {
+		event := acaciaevent.Event{
+			Kind: acaciaevent.ConfigurationApplied, Version: acaciaroute.Offset(loaded.Version), Detail: "from " + source,
+		}
 		if current := g.configuration.Load(); current != nil && current.Version >= loaded.Version {
+			event.Kind = acaciaevent.ConfigurationOutdated
+			g.recorder.Record(event)
 			return
 		}
 		g.configuration.Store(loaded)
 		g.quota.Configure(loaded.Organisations, g.loop.Now())
-		g.recorder.Record(acaciaevent.Event{
-			Kind: acaciaevent.ConfigurationApplied, Version: acaciaroute.Offset(loaded.Version), Detail: "from " + source,
-		})
+		g.recorder.Record(event)
 		g.scheduleBroadcast()
 	})
 }
