Test that fails: a change confirmed after the store's restore is never in force

Two versions are lost and two written before the gateway reads again; its old offset is the end of the topic. Version 3 stays in force, 4 was confirmed.

--- a/acaciagateway/follow_test.go
+++ b/acaciagateway/follow_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	"github.com/acaciaroute/acaciaroute/acacialoop"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
@@ -20,7 +21,7 @@
 // inMemoryTransport calls a store without a network, as virtual time requires.
 type inMemoryTransport struct {
 	store *acaciaplatformstandin.Store
-	// afterSnapshotPage runs after each page of the newest records.
+	// afterSnapshotPage, if set, runs after each page of the newest records.
 	afterSnapshotPage func()
 }
 
@@ -28,7 +29,7 @@
 func (m inMemoryTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	recorder := httptest.NewRecorder()
 	m.store.ServeHTTP(recorder, request)
-	if strings.HasSuffix(request.URL.Path, "log-newest") {
+	if m.afterSnapshotPage != nil && strings.HasSuffix(request.URL.Path, "log-newest") {
 		m.afterSnapshotPage()
 	}
 	return recorder.Result(), nil
@@ -63,3 +64,47 @@
 		assert.Equal(t, (<-changedAt).Sub(startedAt), time.Duration(0))
 	})
 }
+
+// newFollowingGateway returns a gateway that has not been started and follows the store's topics
+// without a network until the test ends.
+func newFollowingGateway(t *testing.T, store *acaciaplatformstandin.Store) *Gateway {
+	t.Helper()
+	client := acaciaplatform.New(acaciaplatform.Settings{Store: "http://store"}, inMemoryTransport{store: store})
+	recorder := acaciaevent.NewRecorder("g-1", acaciaevent.NewClock(time.Now), logr.Discard(), 1000)
+	settings := acaciaplatform.ProcessSettings{Name: "g-1", DataCentre: "a", Region: "r", PeerAddress: "10.0.0.1:7600"}
+	gateway := New(t.Context(), settings, client.Store(), recorder, NewMetrics())
+	for _, run := range []func(context.Context){gateway.followConfiguration, gateway.followEndpoints, gateway.registerAndFollowPeers} {
+		worker := acacialoop.NewWorker()
+		worker.Start(t.Context(), run)
+		t.Cleanup(worker.Close)
+	}
+	t.Cleanup(gateway.loop.Close)
+	return gateway
+}
+
+// The store comes back from a copy without the newest two versions, and two are written before the
+// gateway reads again, so that its old offset is the end of the topic. The second one was never in
+// force (deploy/days/restored_early.toml).
+func TestChangeConfirmedAfterRestoreOfStoreIsInForce(t *testing.T) {
+	// configurationBound is the time within which a confirmed change must be in force.
+	const configurationBound = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		store := acaciaplatformstandin.NewStore()
+		publish := func(version int) { store.PutConfiguration(acaciaplatformstandin.Configuration(version, 3000, 0)) }
+		publish(1)
+		gateway := newFollowingGateway(t, store)
+		time.Sleep(time.Second)
+		backup := store.Backup()
+		publish(2)
+		publish(3)
+		time.Sleep(time.Second)
+		store.SetDown(true)
+		time.Sleep(time.Second)
+		store.Restore(backup)
+		publish(3)
+		publish(4)
+		store.SetDown(false)
+		time.Sleep(configurationBound)
+		assert.Equal(t, gateway.configuration.Load().Version, int64(4))
+	})
+}
