Gateways read a topic anew when the store is in another era

Cause: an offset was kept as if the store's log never goes back. After a restore the offsets behind the copy's end are given out again; a gateway that read only when the topic had grown to its old offset was told nothing, and never read what stood between. Ruled out by the lines of: a late read, a version that was read and passed over, a peer's version that wasn't fetched.

Change: a position holds the era that gave out its offset. The first follower that hears of an era ends the reads of the others, and the first read after a failure doesn't wait for a change; otherwise a change that is confirmed just after the restore comes 4 s late, behind a long poll.

--- /dev/null
+++ b/acaciagateway/era.go
@@ -0,0 +1,60 @@
+package acaciagateway
+
+import (
+	"context"
+	"sync"
+
+	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
+)
+
+// eraWatch tells the followers of all topics of a new era of the store as soon as one of them
+// has heard of it. A long poll would hear of it only at its end.
+type eraWatch struct {
+	mu      sync.Mutex
+	current acaciaplatform.Era
+	// currentContext ends with the current era, by endCurrent.
+	currentContext context.Context
+	endCurrent     context.CancelFunc
+}
+
+func newEraWatch() *eraWatch {
+	w := &eraWatch{}
+	w.currentContext, w.endCurrent = context.WithCancel(context.Background())
+	return w
+}
+
+// observe records the era that a response of the store names.
+func (w *eraWatch) observe(era acaciaplatform.Era) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !era.Replaces(w.current) {
+		return
+	}
+	w.current = era
+	w.endCurrent()
+	w.currentContext, w.endCurrent = context.WithCancel(context.Background())
+}
+
+// era returns the newest era of which the gateway has heard.
+func (w *eraWatch) era() acaciaplatform.Era {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.current
+}
+
+// contextWithin returns a context that ends with ctx, with cancel, or as soon as the store is known
+// to be in another era than the given one.
+func (w *eraWatch) contextWithin(ctx context.Context, era acaciaplatform.Era) (_ context.Context, cancel context.CancelFunc) {
+	ctx, cancelWithin := context.WithCancel(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.current.Replaces(era) {
+		cancelWithin()
+		return ctx, cancelWithin
+	}
+	stop := context.AfterFunc(w.currentContext, cancelWithin)
+	return ctx, func() {
+		stop()
+		cancelWithin()
+	}
+}
--- a/acaciagateway/follow.go
+++ b/acaciagateway/follow.go
@@ -47,8 +47,9 @@
 	}
 }
 
-// readTopic reads a snapshot and then changes. It returns when ctx ends or the store has
-// trimmed changes that were not read yet; after other failures it retries.
+// readTopic reads a snapshot and then changes. It returns when ctx ends, the store has trimmed
+// changes that were not read yet, or it has been restored from a copy, which gives offsets to other
+// records; after other failures it retries.
 func (f *topicFollower) readTopic(ctx context.Context) error {
 	changes, position, err := f.readSnapshot(ctx)
 	if err != nil {
@@ -56,30 +57,39 @@
 	}
 	f.recordResult(nil)
 	f.onSnapshot(changes)
+	eraContext, cancel := f.gateway.era.contextWithin(ctx, position.Era)
+	defer cancel()
 	// A snapshot of many pages takes long to read, so the changes made meanwhile are read
 	// without a pause.
-	for ctx.Err() == nil {
-		batch, err := f.gateway.store.Changes(ctx, f.topic, position, f.longPollTimeout)
+	wait := f.longPollTimeout
+	for eraContext.Err() == nil {
+		batch, err := f.gateway.store.Changes(eraContext, f.topic, position, wait)
 		var codedErr *acaciaroute.Error
 		if errors.As(err, &codedErr) && codedErr.Code == acaciaroute.CodeLogTrimmed {
 			return err
 		}
 		f.recordResult(err)
 		if err != nil {
-			sleep(ctx, rand.N(2*meanRetryDelay))
+			// The next read doesn't wait for a change, so that it tells the era at once.
+			wait = 0
+			sleep(eraContext, rand.N(2*meanRetryDelay))
 			continue
 		}
-		f.gateway.metrics.storeEra.Set(float64(batch.Next.Era))
-		f.recordRestore(position, batch)
+		wait = f.longPollTimeout
+		f.gateway.era.observe(batch.Next.Era)
+		if batch.Next.Era.Replaces(position.Era) || batch.End < position.Offset {
+			break
+		}
 		position = batch.Next
 		f.onChanges(batch.Changes)
-		sleep(ctx, f.pollInterval)
+		sleep(eraContext, f.pollInterval)
 	}
+	f.recordRestore(ctx, position)
 	return nil
 }
 
 // readSnapshot reads the newest record of every key, page by page, and retries a page whose
-// call fails.
+// call fails. It starts again if the store is restored from a copy meanwhile.
 //
 // Load pattern: hundreds of processes start at once and the store refuses most calls. A
 // process that started again from the first page after each failure would hardly ever reach
@@ -94,6 +104,11 @@
 			sleep(ctx, rand.N(2*meanRetryDelay))
 			continue
 		}
+		f.gateway.era.observe(page.End.Era)
+		if lastKey != "" && page.End.Era.Replaces(end.Era) {
+			changes, lastKey = nil, ""
+			continue
+		}
 		changes = append(changes, page.Changes...)
 		if lastKey == "" {
 			end = page.End
@@ -106,14 +121,15 @@
 	return nil, acaciaplatform.Position{}, ctx.Err()
 }
 
-// recordRestore records that the store was restored from a copy since the previous read.
-func (f *topicFollower) recordRestore(from acaciaplatform.Position, batch acaciaplatform.Batch) {
-	if from.Era == batch.Next.Era {
+// recordRestore records that the topic is read anew because the store was restored from a copy,
+// unless ctx has ended.
+func (f *topicFollower) recordRestore(ctx context.Context, last acaciaplatform.Position) {
+	if ctx.Err() != nil {
 		return
 	}
 	f.gateway.recorder.Record(acaciaevent.Event{
 		Kind:   acaciaevent.StoreRestored,
-		Detail: fmt.Sprintf("%s: era %d after %d; read from offset %d, the topic ends at %d", f.topic, batch.Next.Era, from.Era, from.Offset, batch.End),
+		Detail: fmt.Sprintf("%s: era %d after %d; the topic is read anew, it was read up to offset %d", f.topic, f.gateway.era.era(), last.Era, last.Offset),
 	})
 }
 
--- a/acaciagateway/follow_test.go
+++ b/acaciagateway/follow_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acacialoop"
@@ -23,10 +28,19 @@
 	store *acaciaplatformstandin.Store
 	// afterSnapshotPage, if set, runs after each page of the newest records.
 	afterSnapshotPage func()
+	// hangs, if set, reports whether a request gets no response.
+	hangs func(request *http.Request) bool
 }
 
+// configurationBound is the time within which a confirmed change must be in force.
+const configurationBound = 3 * time.Second
+
 // RoundTrip implements http.RoundTripper.
 func (m inMemoryTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if m.hangs != nil && m.hangs(request) {
+		<-request.Context().Done()
+		return nil, request.Context().Err()
+	}
 	recorder := httptest.NewRecorder()
 	m.store.ServeHTTP(recorder, request)
 	if m.afterSnapshotPage != nil && strings.HasSuffix(request.URL.Path, "log-newest") {
@@ -48,7 +62,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		changedAt := make(chan time.Time, 1)
 		f := topicFollower{
-			gateway:      &Gateway{store: client.Store(), recorder: recorder, metrics: NewMetrics()},
+			gateway:      &Gateway{store: client.Store(), era: newEraWatch(), recorder: recorder},
 			topic:        acaciaplatform.TopicEndpoints,
 			pollInterval: endpointsPollInterval,
 			onSnapshot:   func([]acaciaplatform.Change) {},
@@ -67,9 +81,9 @@
 
 // newFollowingGateway returns a gateway that has not been started and follows the store's topics
 // without a network until the test ends.
-func newFollowingGateway(t *testing.T, store *acaciaplatformstandin.Store) *Gateway {
+func newFollowingGateway(t *testing.T, transport inMemoryTransport) *Gateway {
 	t.Helper()
-	client := acaciaplatform.New(acaciaplatform.Settings{Store: "http://store"}, inMemoryTransport{store: store})
+	client := acaciaplatform.New(acaciaplatform.Settings{Store: "http://store"}, transport)
 	recorder := acaciaevent.NewRecorder("g-1", acaciaevent.NewClock(time.Now), logr.Discard(), 1000)
 	settings := acaciaplatform.ProcessSettings{Name: "g-1", DataCentre: "a", Region: "r", PeerAddress: "10.0.0.1:7600"}
 	gateway := New(t.Context(), settings, client.Store(), recorder, NewMetrics())
@@ -82,17 +96,19 @@
 	return gateway
 }
 
+func publishVersion(store *acaciaplatformstandin.Store, version int) {
+	store.PutConfiguration(acaciaplatformstandin.Configuration(version, 3000, 0))
+}
+
 // The store comes back from a copy without the newest two versions, and two are written before the
 // gateway reads again, so that its old offset is the end of the topic. The second one was never in
 // force (deploy/days/restored_early.toml).
 func TestChangeConfirmedAfterRestoreOfStoreIsInForce(t *testing.T) {
-	// configurationBound is the time within which a confirmed change must be in force.
-	const configurationBound = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		store := acaciaplatformstandin.NewStore()
-		publish := func(version int) { store.PutConfiguration(acaciaplatformstandin.Configuration(version, 3000, 0)) }
+		publish := func(version int) { publishVersion(store, version) }
 		publish(1)
-		gateway := newFollowingGateway(t, store)
+		gateway := newFollowingGateway(t, inMemoryTransport{store: store})
 		time.Sleep(time.Second)
 		backup := store.Backup()
 		publish(2)
@@ -108,3 +124,77 @@
 		assert.Equal(t, gateway.configuration.Load().Version, int64(4))
 	})
 }
+
+// The connection on which a gateway waits for a change is dead when the store comes back from a
+// copy. Another topic shows the new era, so the operators' one is read anew at once.
+func TestRestoreSeenOnOneTopicEndsReadsOfTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := acaciaplatformstandin.NewStore()
+		publishVersion(store, 1)
+		var dead atomic.Bool
+		gateway := newFollowingGateway(t, inMemoryTransport{store: store, hangs: func(request *http.Request) bool {
+			return dead.Load() && request.URL.Query().Get("waitMs") != ""
+		}})
+		time.Sleep(configurationBound)
+		dead.Store(true)
+		time.Sleep(configurationLongPollTimeout)
+		store.Restore(store.Backup())
+		publishVersion(store, 2)
+		time.Sleep(configurationBound)
+		assert.Equal(t, gateway.configuration.Load().Version, int64(2))
+	})
+}
+
+// storeFaults are what happens to the store between two versions; newest is the newest version.
+var storeFaults = map[string]func(store *acaciaplatformstandin.Store, backup *acaciaplatformstandin.Backup, newest int){
+	"none":    func(*acaciaplatformstandin.Store, *acaciaplatformstandin.Backup, int) {},
+	"copy":    func(s *acaciaplatformstandin.Store, b *acaciaplatformstandin.Backup, _ int) { *b = s.Backup() },
+	"down":    func(s *acaciaplatformstandin.Store, _ *acaciaplatformstandin.Backup, _ int) { s.SetDown(true) },
+	"up":      func(s *acaciaplatformstandin.Store, _ *acaciaplatformstandin.Backup, _ int) { s.SetDown(false) },
+	"compact": func(s *acaciaplatformstandin.Store, _ *acaciaplatformstandin.Backup, _ int) { s.Compact("keyed.op") },
+	"restore": func(s *acaciaplatformstandin.Store, b *acaciaplatformstandin.Backup, newest int) {
+		s.Restore(*b)
+		publishVersion(s, newest)
+	},
+}
+
+// Whatever happens to the store, the newest version is in force in time once the store answers, and
+// the version in force never goes back.
+func TestNewestConfigurationIsInForceAfterRandomStoreFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom(slices.Sorted(maps.Keys(storeFaults))), 1, 12).Draw(rt, "faults")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 5000), len(faults), len(faults)).Draw(rt, "pauses in ms")
+		published := rapid.SliceOfN(rapid.IntRange(0, 2), len(faults), len(faults)).Draw(rt, "versions")
+		var failure string
+		synctest.Test(t, func(t *testing.T) {
+			store := acaciaplatformstandin.NewStore()
+			newest := 1
+			publishVersion(store, newest)
+			backup := store.Backup()
+			gateway := newFollowingGateway(t, inMemoryTransport{store: store})
+			var inForce int64
+			for i, fault := range faults {
+				storeFaults[fault](store, &backup, newest)
+				for range published[i] {
+					newest++
+					publishVersion(store, newest)
+				}
+				time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
+				if current := gateway.configuration.Load(); current != nil {
+					if current.Version < inForce {
+						failure = fmt.Sprintf("version %d was in force, then %d", inForce, current.Version)
+					}
+					inForce = current.Version
+				}
+			}
+			store.SetDown(false)
+			time.Sleep(configurationBound)
+			if current := gateway.configuration.Load(); current == nil || current.Version != int64(newest) {
+				failure = fmt.Sprintf("version %d is not in force", newest)
+			}
+		})
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -25,6 +25,7 @@
 	Gateway struct {
 		settings acaciaplatform.ProcessSettings
 		store    *acaciaplatform.Store
+		era      *eraWatch
 		recorder *acaciaevent.Recorder
 		metrics  *Metrics
 		upstream *acaciaupstream.Pool
@@ -112,6 +113,7 @@
 	return &Gateway{
 		settings: settings,
 		store:    store,
+		era:      newEraWatch(),
 		recorder: recorder,
 		metrics:  metrics,
 		upstream: acaciaupstream.NewPool(),
--- a/acaciagateway/metrics.go
+++ b/acaciagateway/metrics.go
@@ -90,6 +90,7 @@
 func (m *Metrics) updateGauges(g *Gateway) {
 	m.waitingRequests.Set(float64(len(g.waiters)))
 	m.processes.Set(float64(g.members.Count()))
+	m.storeEra.Set(float64(g.era.era()))
 	m.bannedTraits.Set(float64(len(g.crashes.Bans())))
 	m.limitedEndpoints.Set(float64(g.scheduler.CountLimited()))
 	if current := g.configuration.Load(); current != nil {
