An older registration of an endpoint doesn't replace what is known

What callers would see: requests at endpoints that are leaving or gone, once the store is back from a copy that lists them as ready, until they write again or expire (DRAIN).

Cause: the newest read of the store counted as the newest word of the endpoint, which holds only while the store never goes back.

Change: registrations are compared by start and sequence number. One that is older than the newest known, or no newer than a removed one, counts only after four heartbeat intervals: the store drops an endpoint that no longer writes after three. Without a sequence number a registration counts as new, as before. registration_outdated tells of it.

Before: TestEndpointThatLeftStaysUnusedAfterRestoreOfStore fails in all three cases (draining, gone, drained: "ready is true"). After: passes.

--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -76,6 +76,8 @@
 	EndpointLimited Kind = 521
 	// StoreRestored marks the first read after the store was restored from a copy.
 	StoreRestored Kind = 522
+	// RegistrationOutdated marks a registration of an endpoint that is older than what is known.
+	RegistrationOutdated Kind = 523
 
 	LeaseTaken   Kind = 601
 	OrderIssued  Kind = 602
@@ -145,15 +147,16 @@
 	VMGone:      "vm_gone",
 	VMKept:      "vm_kept",
 
-	AgentUnreached:  "agent_unreached",
-	DependencyLost:  "dependency_lost",
-	DependencyBack:  "dependency_back",
-	CallFailed:      "call_failed",
-	VMReturned:      "vm_returned",
-	PeerFound:       "peer_found",
-	PeerLost:        "peer_lost",
-	EndpointLimited: "endpoint_limited",
-	StoreRestored:   "store_restored",
+	AgentUnreached:       "agent_unreached",
+	DependencyLost:       "dependency_lost",
+	DependencyBack:       "dependency_back",
+	CallFailed:           "call_failed",
+	VMReturned:           "vm_returned",
+	PeerFound:            "peer_found",
+	PeerLost:             "peer_lost",
+	EndpointLimited:      "endpoint_limited",
+	StoreRestored:        "store_restored",
+	RegistrationOutdated: "registration_outdated",
 
 	LeaseTaken:   "lease_taken",
 	OrderIssued:  "order_issued",
--- a/acaciagateway/follow_test.go
+++ b/acaciagateway/follow_test.go
@@ -85,7 +85,7 @@
 	t.Helper()
 	client := acaciaplatform.New(acaciaplatform.Settings{Store: "http://store"}, transport)
 	recorder := acaciaevent.NewRecorder("g-1", acaciaevent.NewClock(time.Now), logr.Discard(), 1000)
-	settings := acaciaplatform.ProcessSettings{Name: "g-1", DataCentre: "a", Region: "r", PeerAddress: "10.0.0.1:7600"}
+	settings := acaciaplatform.ProcessSettings{Name: "g-1", DataCentre: "a", Region: "r", PeerAddress: "10.0.0.1:7600", HeartbeatInterval: testHeartbeat}
 	gateway := New(t.Context(), settings, client.Store(), recorder, NewMetrics())
 	for _, run := range []func(context.Context){gateway.followConfiguration, gateway.followEndpoints, gateway.registerAndFollowPeers} {
 		worker := acacialoop.NewWorker()
--- a/acaciagateway/list.go
+++ b/acaciagateway/list.go
@@ -16,9 +16,10 @@
 		listed map[string]bool
 		// missingUntil holds the endpoints that are kept though they are no longer listed, with
 		// the time at which each is dropped.
-		missingUntil map[string]time.Time
-		storeDown    bool
-		storeDownAt  time.Time
+		missingUntil  map[string]time.Time
+		registrations *registrations
+		storeDown     bool
+		storeDownAt   time.Time
 		// longOutageEndedAt is when the last outage longer than maxOutageWithoutExpiry ended.
 		longOutageEndedAt time.Time
 		// readableSince is the start of the current period in which every read of the store
@@ -39,7 +40,7 @@
 )
 
 func newEndpointList() *endpointList {
-	return &endpointList{listed: map[string]bool{}, missingUntil: map[string]time.Time{}, storeDown: true}
+	return &endpointList{listed: map[string]bool{}, missingUntil: map[string]time.Time{}, registrations: newRegistrations(), storeDown: true}
 }
 
 // setStoreDown records whether the last read of the store failed.
@@ -119,13 +120,14 @@
 		if change.Endpoint != nil {
 			g.endpoints.listed[change.ID] = true
 			delete(g.endpoints.missingUntil, change.ID)
-			g.applyEndpoint(change)
+			g.applyRegistration(change)
 			continue
 		}
 		if !g.endpoints.listed[change.ID] {
 			continue
 		}
 		delete(g.endpoints.listed, change.ID)
+		g.forgetRegistration(change.ID)
 		if until := g.endpoints.keepUntil(now); !until.IsZero() && err == nil {
 			g.endpoints.missingUntil[change.ID] = until
 			g.recorder.Record(acaciaevent.Event{Kind: acaciaevent.VMKept, Endpoint: change.ID})
--- /dev/null
+++ b/acaciagateway/registration_test.go
@@ -0,0 +1,113 @@
+package acaciagateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/acaciaroute/acaciaroute/acaciasite"
+	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
+)
+
+// uses reports whether new requests may go to an endpoint.
+func (g *Gateway) uses(id string) (used bool) {
+	g.loop.Do(func() {
+		endpoint := g.scheduler.Endpoint(id)
+		used = endpoint != nil && !endpoint.Draining
+	})
+	return used
+}
+
+// restoreAfter runs a function between the copy of a store and its outage, which is shorter than
+// the time in which registrations expire.
+func restoreAfter(store *acaciaplatformstandin.Store, change func()) {
+	const downtime = 500 * time.Millisecond
+	backup := store.Backup()
+	change()
+	time.Sleep(2 * endpointsPollInterval)
+	store.SetDown(true)
+	time.Sleep(downtime)
+	store.Restore(backup)
+	store.SetDown(false)
+}
+
+// What a gateway knows of an endpoint's end must hold though the store comes back from a copy that
+// lists it as ready.
+func TestEndpointThatLeftStaysUnusedAfterRestoreOfStore(t *testing.T) {
+	for name, leave := range map[string]func(*testing.T, *acaciaplatformstandin.Store){
+		"draining": func(t *testing.T, s *acaciaplatformstandin.Store) {
+			registerEndpoint(t, s, testEndpoint, anyPort, true)
+		},
+		"gone": func(_ *testing.T, s *acaciaplatformstandin.Store) { s.DeleteEndpoint(testEndpoint) },
+		"drained": func(t *testing.T, s *acaciaplatformstandin.Store) {
+			registerEndpoint(t, s, testEndpoint, anyPort, true)
+			s.DeleteEndpoint(testEndpoint)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := acaciaplatformstandin.NewStore()
+				registerEndpoint(t, store, testEndpoint, anyPort, false)
+				gateway := newFollowingGateway(t, inMemoryTransport{store: store})
+				time.Sleep(time.Second)
+				restoreAfter(store, func() { leave(t, store) })
+				for range expiryHeartbeats - 1 {
+					time.Sleep(testHeartbeat)
+					assert.Check(t, !gateway.uses(testEndpoint))
+				}
+			})
+		})
+	}
+}
+
+// An endpoint that still stands in the restored store when it would have expired is alive.
+func TestOutdatedRegistrationCountsOnceItWouldHaveExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := acaciaplatformstandin.NewStore()
+		registerEndpoint(t, store, testEndpoint, anyPort, false)
+		gateway := newFollowingGateway(t, inMemoryTransport{store: store})
+		time.Sleep(time.Second)
+		restoreAfter(store, func() { store.DeleteEndpoint(testEndpoint) })
+		time.Sleep((expiryHeartbeats + 1) * testHeartbeat)
+		assert.Check(t, gateway.uses(testEndpoint))
+	})
+}
+
+func TestNewerRegistrationReplacesOlder(t *testing.T) {
+	registrationOf := func(startedMs, sequence int) acaciasite.EndpointChange {
+		return acaciasite.EndpointChange{
+			ID: testEndpoint, Endpoint: &acaciasite.Endpoint{StartedAt: atMillisecond(startedMs)}, Sequence: int64(sequence),
+		}
+	}
+	for name, test := range map[string]struct {
+		removed             bool
+		startedMs, sequence int
+		want                bool
+	}{
+		"next heartbeat":              {false, 5, 8, true},
+		"read again":                  {false, 5, 7, true},
+		"older heartbeat":             {false, 5, 6, false},
+		"restart":                     {false, 6, 1, true},
+		"older start":                 {false, 4, 9, false},
+		"without sequence":            {false, 5, 0, true},
+		"registered after removal":    {true, 5, 8, true},
+		"restart after removal":       {true, 6, 1, true},
+		"same registration removed":   {true, 5, 7, false},
+		"older registration removed":  {true, 5, 6, false},
+		"without sequence, removed":   {true, 5, 0, true},
+		"older start after a removal": {true, 4, 9, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistrations()
+			assert.Check(t, r.add(registrationOf(5, 7)))
+			if test.removed {
+				r.remove(testEndpoint)
+			}
+			change := registrationOf(test.startedMs, test.sequence)
+			assert.Equal(t, r.add(change), test.want)
+			assert.Equal(t, r.accept(change), !test.want)
+		})
+	}
+}
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -119,6 +119,16 @@
 	return true
 }
 
+// Endpoint returns the registration of an endpoint, nil if it isn't known.
+func (s *Scheduler) Endpoint(id string) *acaciasite.Endpoint {
+	known := s.endpointsByID[id]
+	if known == nil {
+		return nil
+	}
+	info := known.info
+	return &info
+}
+
 // Enqueue adds a request to the queue of its service, on which DecideWaiting decides.
 func (s *Scheduler) Enqueue(request *Request) {
 	svc := s.getOrCreateService(request.Service)
--- a/acaciasite/endpoint.go
+++ b/acaciasite/endpoint.go
@@ -26,6 +26,8 @@
 	EndpointChange struct {
 		ID       string
 		Endpoint *Endpoint
+		// Sequence counts the registrations of one start of the endpoint; zero if unknown.
+		Sequence int64
 	}
 
 	// Request contains the fields that a caller sends in the headers of a request.
