Endpoints that are missing from a copy are kept until they can have registered again

What callers would see: refusals for want of capacity, for up to a heartbeat, after a short outage from which the store came back as a copy without the newest endpoints.

Cause: only an outage of more than a second counted as one that makes registrations disappear. A restore takes them back however short the outage is.

Before: TestEndpointMissingFromCopyIsKeptAfterRestoreOfStore fails (not used from the first read on). After: used without a gap, dropped after the grace period if it doesn't register again.

--- a/acaciagateway/follow.go
+++ b/acaciagateway/follow.go
@@ -23,13 +23,15 @@
 		longPollTimeout time.Duration
 		pollInterval    time.Duration
 		// onSnapshot is called with the newest record of every key, onChanges with the changes
-		// after it.
-		onSnapshot func(changes []acaciaplatform.Change)
+		// after it. A snapshot is restored if it is the first one of another era.
+		onSnapshot func(changes []acaciaplatform.Change, restored bool)
 		onChanges  func(changes []acaciaplatform.Change)
 		// onStoreState, if set, is called after every read; down reports whether it failed.
 		onStoreState func(down bool)
 
 		dependency *acaciaevent.Dependency
+		// era is that of the last snapshot.
+		era acaciaplatform.Era
 	}
 )
 
@@ -56,7 +58,8 @@
 		return err
 	}
 	f.recordResult(nil)
-	f.onSnapshot(changes)
+	f.onSnapshot(changes, f.era != 0 && position.Era.Replaces(f.era))
+	f.era = position.Era
 	eraContext, cancel := f.gateway.era.contextWithin(ctx, position.Era)
 	defer cancel()
 	// A snapshot of many pages takes long to read, so the changes made meanwhile are read
--- a/acaciagateway/follow_test.go
+++ b/acaciagateway/follow_test.go
@@ -65,7 +65,7 @@
 			gateway:      &Gateway{store: client.Store(), era: newEraWatch(), recorder: recorder},
 			topic:        acaciaplatform.TopicEndpoints,
 			pollInterval: endpointsPollInterval,
-			onSnapshot:   func([]acaciaplatform.Change) {},
+			onSnapshot:   func([]acaciaplatform.Change, bool) {},
 			onChanges: func(changes []acaciaplatform.Change) {
 				if len(changes) > 0 {
 					changedAt <- time.Now()
--- a/acaciagateway/list.go
+++ b/acaciagateway/list.go
@@ -20,8 +20,11 @@
 		registrations *registrations
 		storeDown     bool
 		storeDownAt   time.Time
-		// longOutageEndedAt is when the last outage longer than maxOutageWithoutExpiry ended.
-		longOutageEndedAt time.Time
+		// lossEndedAt is when the store became readable after it may have lost registrations: after
+		// an outage longer than maxOutageWithoutExpiry or after a restore.
+		lossEndedAt time.Time
+		// restoredAt is when the store was first read after the last restore.
+		restoredAt time.Time
 		// readableSince is the start of the current period in which every read of the store
 		// succeeded.
 		readableSince time.Time
@@ -55,24 +58,30 @@
 	}
 	l.readableSince = now
 	if !l.storeDownAt.IsZero() && now.Sub(l.storeDownAt) > maxOutageWithoutExpiry {
-		l.longOutageEndedAt = now
+		l.lossEndedAt = now
 	}
 }
 
+// setStoreRestored records that the store has been restored from a copy, which lacks newer
+// registrations.
+func (l *endpointList) setStoreRestored(now time.Time) {
+	l.lossEndedAt, l.restoredAt = now, now
+}
+
 // keepUntil returns the time until which an endpoint that is missing now is kept, or the zero
 // time if it is gone.
 func (l *endpointList) keepUntil(now time.Time) time.Time {
-	if l.longOutageEndedAt.IsZero() || now.Sub(l.longOutageEndedAt) > relistGracePeriod || l.outageWasLocal() {
+	if l.lossEndedAt.IsZero() || now.Sub(l.lossEndedAt) > relistGracePeriod || l.outageWasLocal() {
 		return time.Time{}
 	}
-	return l.longOutageEndedAt.Add(relistGracePeriod)
+	return l.lossEndedAt.Add(relistGracePeriod)
 }
 
 // outageWasLocal reports whether another process could read the store throughout the last
 // outage. In that case the store itself was available, and the outage made no registration
 // expire.
 func (l *endpointList) outageWasLocal() bool {
-	return !l.storeDownAt.IsZero() && l.localOutageStart.Equal(l.storeDownAt)
+	return l.restoredAt.Before(l.storeDownAt) && !l.storeDownAt.IsZero() && l.localOutageStart.Equal(l.storeDownAt)
 }
 
 // recordPeerReadable records for how long another process has been able to read the store
--- a/acaciagateway/registration_test.go
+++ b/acaciagateway/registration_test.go
@@ -62,6 +62,30 @@
 	}
 }
 
+// An endpoint that registered after the copy was made must be used until it has had time to register
+// again, however short the outage was, and is gone if it does not.
+func TestEndpointMissingFromCopyIsKeptAfterRestoreOfStore(t *testing.T) {
+	for name, alive := range map[string]bool{"alive": true, "gone": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := acaciaplatformstandin.NewStore()
+				gateway := newFollowingGateway(t, inMemoryTransport{store: store})
+				time.Sleep(time.Second)
+				restoreAfter(store, func() { registerEndpoint(t, store, testEndpoint, anyPort, false) })
+				for range 10 {
+					time.Sleep(testHeartbeat / 10)
+					assert.Check(t, gateway.uses(testEndpoint))
+				}
+				if alive {
+					registerEndpoint(t, store, testEndpoint, anyPort, false)
+				}
+				time.Sleep(relistGracePeriod)
+				assert.Equal(t, gateway.uses(testEndpoint), alive)
+			})
+		})
+	}
+}
+
 // An endpoint that still stands in the restored store when it would have expired is alive.
 func TestOutdatedRegistrationCountsOnceItWouldHaveExpired(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/acaciagateway/watch.go
+++ b/acaciagateway/watch.go
@@ -36,7 +36,8 @@
 		}
 	}
 	f := topicFollower{
-		gateway: g, topic: acaciaplatform.TopicConfiguration, longPollTimeout: configurationLongPollTimeout, onSnapshot: applyChanges, onChanges: applyChanges,
+		gateway: g, topic: acaciaplatform.TopicConfiguration, longPollTimeout: configurationLongPollTimeout, onChanges: applyChanges,
+		onSnapshot: func(changes []acaciaplatform.Change, _ bool) { applyChanges(changes) },
 	}
 	f.run(ctx)
 }
@@ -64,8 +65,13 @@
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	f := topicFollower{
 		gateway: g, topic: acaciaplatform.TopicEndpoints, pollInterval: endpointsPollInterval,
-		onSnapshot: func(changes []acaciaplatform.Change) {
-			g.loop.Do(func() { g.replaceEndpoints(changes) })
+		onSnapshot: func(changes []acaciaplatform.Change, restored bool) {
+			g.loop.Do(func() {
+				if restored {
+					g.endpoints.setStoreRestored(g.loop.Now())
+				}
+				g.replaceEndpoints(changes)
+			})
 			g.endpointsLoaded.Store(true)
 		},
 		onChanges: func(changes []acaciaplatform.Change) {
@@ -107,7 +113,10 @@
 			}
 		}
 	}
-	f := topicFollower{gateway: g, topic: acaciaplatform.TopicPeers, pollInterval: peersPollInterval, onSnapshot: addPeers, onChanges: addPeers}
+	f := topicFollower{
+		gateway: g, topic: acaciaplatform.TopicPeers, pollInterval: peersPollInterval, onChanges: addPeers,
+		onSnapshot: func(changes []acaciaplatform.Change, _ bool) { addPeers(changes) },
+	}
 	f.run(ctx)
 }
 
