A gateway whose registration the store has lost registers again

What callers would see: quotas and retry budgets kept apart by gateways that don't hear of each other, because the registration by which a later one finds them is gone.

Cause: the acknowledgement of the registration was kept as if the store never goes back; the gateway wrote it at its start only. Found beside it: a gateway that started while the store was away gave up after five tries and never registered.

A file of its own.

Before: TestLostRegistrationOfGatewayIsWrittenAgain and TestGatewayRegistersOnceStoreIsBack fail. After: they pass.

--- /dev/null
+++ b/acaciagateway/peers.go
@@ -0,0 +1,93 @@
+package acaciagateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/acaciaroute/acaciaroute/acaciaevent"
+	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
+)
+
+// peerFollower keeps the gateway's own registration in the store and reads those of the others.
+type peerFollower struct {
+	gateway    *Gateway
+	registered bool
+}
+
+const (
+	peersPollInterval = 15 * time.Second
+	// maxRegisterAttempts is how often a gateway tries to write its own registration before it
+	// reads the store again.
+	maxRegisterAttempts = 5
+)
+
+// registerAndFollowPeers writes the gateway's own registration to the store, again whenever the
+// store has lost it, and reads those of the others.
+func (g *Gateway) registerAndFollowPeers(ctx context.Context) {
+	g.loop.Do(func() {
+		for _, address := range g.settings.Seeds {
+			g.addPeerAddress(address)
+		}
+	})
+	p := &peerFollower{gateway: g}
+	p.register(ctx)
+	f := topicFollower{
+		gateway: g, topic: acaciaplatform.TopicPeers, pollInterval: peersPollInterval,
+		onSnapshot: func(changes []acaciaplatform.Change, _ bool) {
+			p.registered = false
+			p.apply(ctx, changes)
+		},
+		onChanges: func(changes []acaciaplatform.Change) { p.apply(ctx, changes) },
+	}
+	f.run(ctx)
+}
+
+// register writes the gateway's own registration.
+func (p *peerFollower) register(ctx context.Context) {
+	g := p.gateway
+	own := &acaciaplatform.Peer{Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre, Region: g.settings.Region}
+	for range maxRegisterAttempts {
+		err := g.store.PutPeer(ctx, g.settings.Name, own)
+		if err == nil || ctx.Err() != nil {
+			p.registered = true
+			return
+		}
+		g.recorder.RecordCallFailure("write the gateway's own registration to the store", acaciaevent.Event{}, err)
+		sleep(ctx, rand.N(4*meanRetryDelay))
+	}
+}
+
+// apply applies registrations, and writes the gateway's own if the store does not hold it.
+func (p *peerFollower) apply(ctx context.Context, changes []acaciaplatform.Change) {
+	for _, change := range changes {
+		p.applyRegistration(change)
+	}
+	if !p.registered {
+		p.register(ctx)
+	}
+}
+
+// applyRegistration adds the address of a registered gateway to the possible peers.
+func (p *peerFollower) applyRegistration(change acaciaplatform.Change) {
+	g := p.gateway
+	peer, err := change.Peer()
+	if err != nil {
+		g.recorder.RecordCallFailure("decode the registration of a peer", acaciaevent.Event{}, err)
+		return
+	}
+	if change.Key == g.settings.Name {
+		p.registered = peer != nil && peer.Address == g.settings.PeerAddress
+	}
+	if peer != nil {
+		g.loop.Do(func() { g.addPeerAddress(peer.Address) })
+	}
+}
+
+// addPeerAddress adds an address, unless it is the gateway's own, as that of a possible peer.
+// It must be called on the loop.
+func (g *Gateway) addPeerAddress(address string) {
+	if address != g.settings.PeerAddress {
+		g.members.AddHint(address)
+	}
+}
--- a/acaciagateway/registration_test.go
+++ b/acaciagateway/registration_test.go
@@ -11,10 +11,10 @@
 	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
 
-// uses reports whether new requests may go to an endpoint.
-func (g *Gateway) uses(id string) (used bool) {
+// usesTestEndpoint reports whether new requests may go to the endpoint.
+func (g *Gateway) usesTestEndpoint() (used bool) {
 	g.loop.Do(func() {
-		endpoint := g.scheduler.Endpoint(id)
+		endpoint := g.scheduler.Endpoint(testEndpoint)
 		used = endpoint != nil && !endpoint.Draining
 	})
 	return used
@@ -55,7 +55,7 @@
 				restoreAfter(store, func() { leave(t, store) })
 				for range expiryHeartbeats - 1 {
 					time.Sleep(testHeartbeat)
-					assert.Check(t, !gateway.uses(testEndpoint))
+					assert.Check(t, !gateway.usesTestEndpoint())
 				}
 			})
 		})
@@ -74,13 +74,13 @@
 				restoreAfter(store, func() { registerEndpoint(t, store, testEndpoint, anyPort, false) })
 				for range 10 {
 					time.Sleep(testHeartbeat / 10)
-					assert.Check(t, gateway.uses(testEndpoint))
+					assert.Check(t, gateway.usesTestEndpoint())
 				}
 				if alive {
 					registerEndpoint(t, store, testEndpoint, anyPort, false)
 				}
 				time.Sleep(relistGracePeriod)
-				assert.Equal(t, gateway.uses(testEndpoint), alive)
+				assert.Equal(t, gateway.usesTestEndpoint(), alive)
 			})
 		})
 	}
@@ -95,7 +95,7 @@
 		time.Sleep(time.Second)
 		restoreAfter(store, func() { store.DeleteEndpoint(testEndpoint) })
 		time.Sleep((expiryHeartbeats + 1) * testHeartbeat)
-		assert.Check(t, gateway.uses(testEndpoint))
+		assert.Check(t, gateway.usesTestEndpoint())
 	})
 }
 
@@ -135,3 +135,41 @@
 		})
 	}
 }
+
+// A gateway whose registration the store has lost, or never got, must register again; those that
+// start later find it by that.
+func TestLostRegistrationOfGatewayIsWrittenAgain(t *testing.T) {
+	for name, lose := range map[string]func(*acaciaplatformstandin.Store){
+		"restored before its start": func(s *acaciaplatformstandin.Store) {
+			s.Restore(acaciaplatformstandin.NewStore().Backup())
+		},
+		"deleted, and the history trimmed": func(s *acaciaplatformstandin.Store) {
+			s.Put("keyed.status", "g-1", nil)
+			s.Compact("keyed.status")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := acaciaplatformstandin.NewStore()
+				newFollowingGateway(t, inMemoryTransport{store: store})
+				time.Sleep(time.Second)
+				lose(store)
+				time.Sleep(2 * peersPollInterval)
+				assert.Check(t, store.Has("keyed.status", "g-1"))
+			})
+		})
+	}
+}
+
+// A store that is away while a gateway starts gets the registration when it is back.
+func TestGatewayRegistersOnceStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := acaciaplatformstandin.NewStore()
+		store.SetDown(true)
+		newFollowingGateway(t, inMemoryTransport{store: store})
+		time.Sleep(time.Minute)
+		store.SetDown(false)
+		time.Sleep(2 * peersPollInterval)
+		assert.Check(t, store.Has("keyed.status", "g-1"))
+	})
+}
--- a/acaciagateway/watch.go
+++ b/acaciagateway/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
@@ -15,10 +14,6 @@
 	// dead connection is detected by the probes of its dialer, not by these calls.
 	configurationLongPollTimeout = 4 * time.Second
 	endpointsPollInterval        = 1500 * time.Millisecond
-	peersPollInterval            = 15 * time.Second
-	// maxRegisterAttempts is how often a gateway at most tries to write its own registration
-	// to the store.
-	maxRegisterAttempts = 5
 )
 
 // followConfiguration applies the configurations that operators publish in the store.
@@ -83,47 +78,3 @@
 	}
 	f.run(ctx)
 }
-
-// registerAndFollowPeers writes the gateway's own registration to the store and reads those
-// of the others.
-func (g *Gateway) registerAndFollowPeers(ctx context.Context) {
-	ownRegistration := &acaciaplatform.Peer{Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre, Region: g.settings.Region}
-	g.loop.Do(func() {
-		for _, address := range g.settings.Seeds {
-			g.addPeerAddress(address)
-		}
-	})
-	for range maxRegisterAttempts {
-		err := g.store.PutPeer(ctx, g.settings.Name, ownRegistration)
-		if err == nil || ctx.Err() != nil {
-			break
-		}
-		g.recorder.RecordCallFailure("write the gateway's own registration to the store", acaciaevent.Event{}, err)
-		sleep(ctx, rand.N(4*meanRetryDelay))
-	}
-	addPeers := func(changes []acaciaplatform.Change) {
-		for _, change := range changes {
-			peer, err := change.Peer()
-			if err != nil {
-				g.recorder.RecordCallFailure("decode the registration of a peer", acaciaevent.Event{}, err)
-				continue
-			}
-			if peer != nil {
-				g.loop.Do(func() { g.addPeerAddress(peer.Address) })
-			}
-		}
-	}
-	f := topicFollower{
-		gateway: g, topic: acaciaplatform.TopicPeers, pollInterval: peersPollInterval, onChanges: addPeers,
-		onSnapshot: func(changes []acaciaplatform.Change, _ bool) { addPeers(changes) },
-	}
-	f.run(ctx)
-}
-
-// addPeerAddress adds an address, unless it is the gateway's own, as that of a possible peer.
-// It must be called on the loop.
-func (g *Gateway) addPeerAddress(address string) {
-	if address != g.settings.PeerAddress {
-		g.members.AddHint(address)
-	}
-}
