--- a/acaciasystem/gateway_cluster_test.go
+++ b/acaciasystem/gateway_cluster_test.go
@@ -76,6 +76,8 @@
 	streamEventInterval = 5 * time.Millisecond
 	defaultRunTime      = 10 * time.Millisecond
 	downTime            = 500 * time.Millisecond
+	// versionStep is the step between versions of the configuration.
+	versionStep = 3
 )
 
 var fleetCount atomic.Int64
@@ -112,8 +114,14 @@
 // publishConfiguration stores the next version of the configuration, which differs from the
 // previous one only in its version and one timeout.
 func (f *fleet) publishConfiguration() {
-	version := int(f.version.Add(1))
-	f.store.PutConfiguration(acaciaplatformstandin.Configuration(version*3, 2000+version, 0))
+	f.version.Add(1)
+	f.repeatConfiguration()
+}
+
+// repeatConfiguration stores the newest version of the configuration again.
+func (f *fleet) repeatConfiguration() {
+	version := int(f.version.Load())
+	f.store.PutConfiguration(acaciaplatformstandin.Configuration(version*versionStep, 2000+version, 0))
 }
 
 // close kills all gateways and prints their logs if the test has failed.
@@ -201,6 +209,13 @@
 	assert.Check(e.fleet.t, e.fleet.store.PutEndpoint(e.id, e.proxy.address, 4, false, e.registrations))
 }
 
+// register writes the endpoint's registration again, as its heartbeats do.
+func (e *endpointNode) register() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	assert.Check(e.fleet.t, e.fleet.store.PutEndpoint(e.id, e.proxy.address, 4, false, e.registrations))
+}
+
 // setFaults sets how the endpoint fails from now on.
 func (e *endpointNode) setFaults(failsRequests, dropsAnswers bool) {
 	e.mu.Lock()
