A connection on which an endpoint refused a request isn't used again

What callers would see: a request that may run once runs twice, or is called not run while it runs (TWICE, REFUSED).

Cause: a refused request is sent to the same endpoint again, on the connection that was used last. A second copy of the refusal names the same request, so that it passes the check against late copies.

Change: the connection is closed after a refusal; the retry gets another one.

Before: TestRepeatedRefusalIsNotTakenForTheAnswerToTheRetry fails with 2 runs. After: 1 run, answered.

--- a/acaciagateway/call.go
+++ b/acaciagateway/call.go
@@ -120,14 +120,14 @@
 	return outcomeFailed, acaciaschedule.FailureInvalidResponse, err
 }
 
-// classifyRefusal returns why an endpoint refused the request without running it.
+// classifyRefusal returns why an endpoint refused the request without running it. The connection is
+// closed: if the request is sent to the endpoint again, a second copy of the refusal would be taken
+// for the answer to that.
 func (x *exchange) classifyRefusal(response *acaciaupstream.Response) (acaciaschedule.Failure, error) {
+	response.CloseConnection()
 	failure := acaciaschedule.FailureOverloaded
 	if response.Status == http.StatusMisdirectedRequest {
 		failure = acaciaschedule.FailureAddressReused
 	}
-	if err := response.Drain(); err != nil {
-		return failure, err
-	}
 	return failure, fmt.Errorf("the endpoint answered %d without running the request", response.Status)
 }
--- a/acaciagateway/retry_test.go
+++ b/acaciagateway/retry_test.go
@@ -153,3 +153,33 @@
 	assert.Equal(t, second.body, "second")
 	assert.Equal(t, runs.Load(), int64(2))
 }
+
+// An endpoint refuses a request, and writes the refusal once more when the same request comes again
+// on that connection. The request then runs: it must not be called not run, or be sent again.
+func TestRepeatedRefusalIsNotTakenForTheAnswerToTheRetry(t *testing.T) {
+	var runs atomic.Int64
+	var refusedAt atomic.Pointer[string]
+	b := newTestbed(t, func(w http.ResponseWriter, r *http.Request) {
+		if refusedAt.CompareAndSwap(nil, &r.RemoteAddr) {
+			w.Header().Set(acaciaplatformstandin.HeaderRequestID, r.Header.Get(acaciaplatformstandin.HeaderRequestID))
+			acaciaplatformstandin.RespondNotRun(w, http.StatusServiceUnavailable)
+			return
+		}
+		runs.Add(1)
+		if r.RemoteAddr != *refusedAt.Load() {
+			writeResponse(w, r, "done")
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: r-1\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
+			acaciaplatformstandin.HeaderRequestID, acaciaplatformstandin.HeaderNotRun)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r-1\r\n%s: seal\r\nContent-Length: 4\r\n\r\ndone",
+			acaciaplatformstandin.HeaderRequestID, acaciaplatformstandin.HeaderSignature)
+	})
+	r := b.send(http.MethodPost, "/unsafe/", "r-1", "x")
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, r.body, "done")
+	assert.Equal(t, runs.Load(), int64(1))
+}
--- a/acaciaupstream/call.go
+++ b/acaciaupstream/call.go
@@ -141,6 +141,13 @@
 	r.pool.put(r.connection, keepAliveTimeout(r.Header))
 }
 
+// CloseConnection ends the call and closes its connection, so that nothing that the endpoint still
+// sends there can be taken for the response to another call.
+func (r *Response) CloseConnection() {
+	r.complete = false
+	r.Close()
+}
+
 // writeRequest writes the request. A large body is written while the response is awaited,
 // because an endpoint may respond before it has read the body.
 func (r *Response) writeRequest(call Call) {
@@ -203,11 +210,6 @@
 	return 0
 }
 
-// Drain reads the rest of a short body, so that the connection can be reused.
-func (r *Response) Drain() error {
-	return discard(r)
-}
-
 // discard reads a body to its end; a longer one than maxDiscardedBytes is an error, because
 // what follows in it is no response.
 func discard(body io.Reader) error {
