Lines that are no fields of an event never reach a stream

Reported by operators of similar systems; it could happen here.

Change: a line must begin with a field's name, and where events have IDs each must have one. Anything else is a broken response: the stream is resumed or cut. The checks of events have a file of their own.

Before: 3 of 15 kinds of errors come through in TestErrorsOfResumingEndpointsNeverReachTheStream.

--- /dev/null
+++ b/acaciagateway/event.go
@@ -0,0 +1,92 @@
+package acaciagateway
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+const (
+	maxEventBytes = 1 << 20
+	fieldID       = "id"
+)
+
+var (
+	errEventTooLong   = errors.New("a stream event exceeds the size limit")
+	errEventWithoutID = errors.New("an event without an ID follows events with IDs")
+)
+
+// splitEvents returns the complete events at the start of data, and the rest. An event whose ID
+// does not follow the last one is an error, and so is a line that is no field of an event: an
+// endpoint may write an error's text, or another response's header, in the middle of a stream.
+func (x *exchange) splitEvents(data []byte) (complete, rest []byte, err error) {
+	end := 0
+	for {
+		length := bytes.Index(data[end:], []byte("\n\n"))
+		if length < 0 {
+			break
+		}
+		if err := x.checkEvent(data[end : end+length]); err != nil {
+			return data[:end], nil, err
+		}
+		end += length + 2
+	}
+	if len(data)-end > maxEventBytes {
+		return data[:end], nil, errEventTooLong
+	}
+	return data[:end], data[end:], nil
+}
+
+// checkEvent checks the lines of an event and its ID, and counts it. Comments alone are no event.
+func (x *exchange) checkEvent(event []byte) error {
+	fields, ids := 0, 0
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		if len(name) == 0 {
+			continue
+		}
+		if !isFieldName(name) {
+			return fmt.Errorf("the line %.40q is no field of an event", line)
+		}
+		fields++
+		if string(name) == fieldID {
+			ids++
+			if err := x.checkEventID(string(bytes.TrimSpace(value))); err != nil {
+				return err
+			}
+		}
+	}
+	if fields == 0 {
+		return nil
+	}
+	if ids == 0 && x.lastEventID != "" {
+		return errEventWithoutID
+	}
+	x.fieldEvents++
+	return nil
+}
+
+// checkEventID checks that an event's ID directly follows that of the last event.
+func (x *exchange) checkEventID(id string) error {
+	number, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return fmt.Errorf("event ID %q is not a valid number: %w", id, err)
+	}
+	if last, err := strconv.ParseInt(x.lastEventID, 10, 64); err == nil && number != last+1 {
+		return fmt.Errorf("event %d follows event %d", number, last)
+	}
+	x.lastEventID = id
+	x.eventCount++
+	return nil
+}
+
+// isFieldName reports whether a name consists of lower-case letters and hyphens only.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -1,10 +1,8 @@
 package acaciagateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -23,16 +21,12 @@
 	// maxResponseBytes bounds the body of a plain response.
 	maxResponseBytes  = 32 << 20
 	streamBufferBytes = 16 << 10
-	maxEventBytes     = 1 << 20
 	// minEventsForInterval is the least number of events of a stream that is reported to the
 	// scheduler.
 	minEventsForInterval = 4
 )
 
-var (
-	errResponseTooLong = errors.New("the response exceeds the size limit")
-	errEventTooLong    = errors.New("a stream event exceeds the size limit")
-)
+var errResponseTooLong = errors.New("the response exceeds the size limit")
 
 // relayPlain reads a response completely before it forwards it to the caller.
 func (x *exchange) relayPlain(ctx context.Context, response *acaciaupstream.Response, wd *watchdog) (callOutcome, acaciaschedule.Failure, error) {
@@ -167,62 +161,6 @@
 	x.lastEventAt = now
 }
 
-// splitEvents returns the complete events at the start of data, and the rest. An event whose ID
-// does not follow the last one is an error.
-func (x *exchange) splitEvents(data []byte) (complete, rest []byte, err error) {
-	end := 0
-	for {
-		length := bytes.Index(data[end:], []byte("\n\n"))
-		if length < 0 {
-			break
-		}
-		event := data[end : end+length]
-		if err := x.checkEventOrder(event); err != nil {
-			return data[:end], nil, err
-		}
-		if hasField(event) {
-			x.fieldEvents++
-		}
-		end += length + 2
-	}
-	if len(data)-end > maxEventBytes {
-		return data[:end], nil, errEventTooLong
-	}
-	return data[:end], data[end:], nil
-}
-
-// hasField reports whether the event consists of more than empty lines and comments.
-func hasField(event []byte) bool {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if len(line) > 0 && line[0] != ':' {
-			return true
-		}
-	}
-	return false
-}
-
-// checkEventOrder checks that the ID of an event directly follows that of the last event, and
-// counts the event.
-func (x *exchange) checkEventOrder(event []byte) error {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		id := string(bytes.TrimSpace(value))
-		number, err := strconv.ParseInt(id, 10, 64)
-		if err != nil {
-			return fmt.Errorf("event ID %q is not a valid number: %w", id, err)
-		}
-		if last, err := strconv.ParseInt(x.lastEventID, 10, 64); err == nil && number != last+1 {
-			return fmt.Errorf("event %d follows event %d", number, last)
-		}
-		x.lastEventID = id
-		x.eventCount++
-	}
-	return nil
-}
-
 // copyHeader copies the headers of an endpoint's response to the caller's response. A
 // Connection header that the gateway has set is kept.
 func (x *exchange) copyHeader(response *acaciaupstream.Response) {
--- a/acaciagateway/stream_test.go
+++ b/acaciagateway/stream_test.go
@@ -85,6 +85,74 @@
 	assert.Check(t, r.err != nil, "body %q", r.body)
 }
 
+// A stream has begun and breaks off, and the endpoints that should resume it answer with errors of
+// many kinds. The caller must get events of the stream only, and a whole stream or a cut one.
+func TestErrorsOfResumingEndpointsNeverReachTheStream(t *testing.T) {
+	const whole = "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\nid: 4\ndata: x4\n\n"
+	raw := func(text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			_, _ = io.WriteString(conn, text)
+			_ = conn.Close()
+		}
+	}
+	plain := func(status int, signed bool, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
+			if !signed {
+				w.Header().Del(acaciaplatformstandin.HeaderSignature)
+			}
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	signedHead := "HTTP/1.1 200 OK\r\n" + acaciaplatformstandin.HeaderRequestID + ": r-1\r\n" + acaciaplatformstandin.HeaderSignature + ": seal\r\n"
+	for name, fail := range map[string]http.HandlerFunc{
+		"500":                      plain(http.StatusInternalServerError, false, "out of memory\n\n"),
+		"500, signed":              plain(http.StatusInternalServerError, true, "out of memory\n\n"),
+		"500, empty":               plain(http.StatusInternalServerError, true, ""),
+		"503":                      plain(http.StatusServiceUnavailable, false, "busy\n\n"),
+		"404, signed":              plain(http.StatusNotFound, true, "no such stream\n\n"),
+		"302":                      plain(http.StatusFound, true, ""),
+		"204":                      plain(http.StatusNoContent, true, ""),
+		"200, unsigned":            plain(http.StatusOK, false, "out of memory\n\n"),
+		"200 with an error's text": plain(http.StatusOK, true, "out of memory\n\n"),
+		"200 from the start":       plain(http.StatusOK, true, whole),
+		"refusal": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(acaciaplatformstandin.HeaderRequestID, r.Header.Get(acaciaplatformstandin.HeaderRequestID))
+			acaciaplatformstandin.RespondNotRun(w, http.StatusServiceUnavailable)
+		},
+		"no response":                     raw("HTTP/1.1 5"),
+		"another head, unframed":          raw(signedHead + "\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"),
+		"another head with bare newlines": raw(signedHead + "\r\nHTTP/1.1 500 Internal Server Error\nContent-Length: 2\n\nno\n\n"),
+		"another head in a chunk":         raw(signedHead + "Transfer-Encoding: chunked\r\n\r\n1f\r\nHTTP/1.1 500 Internal Error\n\nno\n\r\n0\r\n\r\n"),
+	} {
+		for _, recovers := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, "/recovers ", recovers), func(t *testing.T) {
+				var starts atomic.Int64
+				handler := func(w http.ResponseWriter, r *http.Request) {
+					switch n := starts.Add(1); {
+					case n == 1:
+						acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
+						writeEvents(w, 1, 2)
+						panic(http.ErrAbortHandler)
+					case n > 2 && recovers:
+						acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
+						writeEvents(w, 3, 4)
+					default:
+						fail(w, r)
+					}
+				}
+				b := newTestbed(t, handler, handler)
+				r := b.send(http.MethodPost, "/stream/", "r-1", "")
+				assert.Check(t, strings.HasPrefix(whole, r.body), "body %q", r.body)
+				assert.Equal(t, r.err == nil, r.body == whole, "error %v, body %q", r.err, r.body)
+			})
+		}
+	}
+}
+
 // stallFirst returns a handler whose first stream stalls after two events and whose second one goes
 // on from there; starts counts them.
 func stallFirst(starts *atomic.Int64, stall http.HandlerFunc) http.HandlerFunc {
