--- a/acaciagateway/follow_test.go
+++ b/acaciagateway/follow_test.go
@@ -55,8 +55,8 @@
 func TestChangesDuringSnapshotAreReadAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := acaciaplatformstandin.NewStore()
-		assert.NilError(t, store.PutEndpoint(testEndpoint, anyPort, 1, false, 1))
-		markLeaving := func() { assert.Check(t, store.PutEndpoint(testEndpoint, anyPort, 1, true, 1)) }
+		assert.NilError(t, store.PutEndpoint(testEndpoint, unusedAddress, 1, false, 1))
+		markLeaving := func() { assert.Check(t, store.PutEndpoint(testEndpoint, unusedAddress, 1, true, 1)) }
 		client := acaciaplatform.New(acaciaplatform.Settings{Store: "http://store"}, inMemoryTransport{store: store, afterSnapshotPage: markLeaving})
 		recorder := acaciaevent.NewRecorder("g-1", acaciaevent.NewClock(time.Now), logr.Discard(), 10)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/acaciagateway/registration_test.go
+++ b/acaciagateway/registration_test.go
@@ -38,18 +38,18 @@
 func TestEndpointThatLeftStaysUnusedAfterRestoreOfStore(t *testing.T) {
 	for name, leave := range map[string]func(*testing.T, *acaciaplatformstandin.Store){
 		"draining": func(t *testing.T, s *acaciaplatformstandin.Store) {
-			registerEndpoint(t, s, testEndpoint, anyPort, true)
+			registerEndpoint(t, s, testEndpoint, unusedAddress, true)
 		},
 		"gone": func(_ *testing.T, s *acaciaplatformstandin.Store) { s.DeleteEndpoint(testEndpoint) },
 		"drained": func(t *testing.T, s *acaciaplatformstandin.Store) {
-			registerEndpoint(t, s, testEndpoint, anyPort, true)
+			registerEndpoint(t, s, testEndpoint, unusedAddress, true)
 			s.DeleteEndpoint(testEndpoint)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := acaciaplatformstandin.NewStore()
-				registerEndpoint(t, store, testEndpoint, anyPort, false)
+				registerEndpoint(t, store, testEndpoint, unusedAddress, false)
 				gateway := newFollowingGateway(t, inMemoryTransport{store: store})
 				time.Sleep(time.Second)
 				restoreAfter(store, func() { leave(t, store) })
@@ -71,13 +71,13 @@
 				store := acaciaplatformstandin.NewStore()
 				gateway := newFollowingGateway(t, inMemoryTransport{store: store})
 				time.Sleep(time.Second)
-				restoreAfter(store, func() { registerEndpoint(t, store, testEndpoint, anyPort, false) })
+				restoreAfter(store, func() { registerEndpoint(t, store, testEndpoint, unusedAddress, false) })
 				for range 10 {
 					time.Sleep(testHeartbeat / 10)
 					assert.Check(t, gateway.usesTestEndpoint())
 				}
 				if alive {
-					registerEndpoint(t, store, testEndpoint, anyPort, false)
+					registerEndpoint(t, store, testEndpoint, unusedAddress, false)
 				}
 				time.Sleep(relistGracePeriod)
 				assert.Equal(t, gateway.usesTestEndpoint(), alive)
@@ -90,7 +90,7 @@
 func TestOutdatedRegistrationCountsOnceItWouldHaveExpired(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := acaciaplatformstandin.NewStore()
-		registerEndpoint(t, store, testEndpoint, anyPort, false)
+		registerEndpoint(t, store, testEndpoint, unusedAddress, false)
 		gateway := newFollowingGateway(t, inMemoryTransport{store: store})
 		time.Sleep(time.Second)
 		restoreAfter(store, func() { store.DeleteEndpoint(testEndpoint) })
--- a/acaciagateway/testbed_test.go
+++ b/acaciagateway/testbed_test.go
@@ -25,6 +25,8 @@
 	testHeartbeat = 1200 * time.Millisecond
 	testEndpoint  = "i-1"
 	anyPort       = "127.0.0.1:0"
+	// unusedAddress is that of endpoints that are not called.
+	unusedAddress = "127.0.0.1:9"
 )
 
 type (
