--- a/acaciasystem/gateway_restore_soak_test.go
+++ b/acaciasystem/gateway_restore_soak_test.go
@@ -78,7 +78,7 @@
 	group.Go(func() {
 		random := rand.New(rand.NewPCG(seed, 2*round))
 		for time.Now().Before(end) {
-			f.restoreStore(random)
+			f.restoreStore(random, random.IntN(4), random.IntN(2))
 		}
 	})
 	group.Go(func() {
@@ -90,14 +90,18 @@
 		}
 	})
 	group.Wait()
+	// Nothing disturbs the gateways any more, and the topic ends where it ended before.
+	random := rand.New(rand.NewPCG(seed, 2*round))
+	lost := 2 + random.IntN(2)
+	f.restoreStore(random, lost, lost-1)
 }
 
-// restoreStore takes the store back to a copy before its newest configurations. The operators write
-// the newest one again, and sometimes another one, before the gateways can read; the endpoints
+// restoreStore takes the store back to a copy that lacks some of the newest configurations. The
+// operators write the newest one again, and added ones, before the gateways can read; the endpoints
 // register again with their next heartbeats.
-func (f *fleet) restoreStore(random *rand.Rand) {
+func (f *fleet) restoreStore(random *rand.Rand, lost, added int) {
 	backup := f.store.Backup()
-	for range random.IntN(4) {
+	for range lost {
 		f.publishConfiguration()
 		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
 	}
@@ -105,7 +109,7 @@
 	time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
 	f.store.Restore(backup)
 	f.repeatConfiguration()
-	if random.IntN(2) == 0 {
+	for range added {
 		f.publishConfiguration()
 	}
 	f.store.SetDown(false)
