Entries refuse prompts that share a beginning which crashes engines

Change: reports of crashes hold the traits of what ran, the hashes of its prefixes and its content, and what the agent knew of them when the run started; an answer on a suspected trait is reported, too. All processes decide from these records with the gateways' table (acaciacrash), so that there is one mechanism for it.

--- a/acaciaagent/crash.go
+++ b/acaciaagent/crash.go
@@ -27,6 +27,7 @@
 	watchedRun struct {
 		// content is the digest of the request.
 		content string
+		run     acaciapoison.Run
 		alone   bool
 		failed  bool
 	}
@@ -43,10 +44,10 @@
 }
 
 // runStarted records that a run has started.
-func (d *crashDetector) runStarted(requestID, content string, alone bool) {
+func (d *crashDetector) runStarted(requestID, content string, run acaciapoison.Run, alone bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.running[requestID] = watchedRun{content: content, alone: alone}
+	d.running[requestID] = watchedRun{content: content, run: run, alone: alone}
 }
 
 // runEnded records how a run has ended. A complete answer shows that the endpoint is
@@ -109,6 +110,7 @@
 			return
 		}
 		report.Contents = append(report.Contents, run.content)
+		report.Runs = append(report.Runs, run.run)
 		report.Alone = run.alone && len(suspects) == 1
 	}
 	d.report(report)
--- a/acaciaagent/crash_test.go
+++ b/acaciaagent/crash_test.go
@@ -44,7 +44,7 @@
 				var reports []acaciapoison.Report
 				d := newCrashDetector(func(r acaciapoison.Report) { reports = append(reports, r) })
 				for _, id := range test.running {
-					d.runStarted(id, id, test.alone)
+					d.runStarted(id, id, acaciapoison.Run{}, test.alone)
 				}
 				for _, e := range test.ends {
 					d.runEnded(context.Background(), e.id, e.code)
--- a/acaciaagent/execution.go
+++ b/acaciaagent/execution.go
@@ -11,6 +11,7 @@
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciagrant"
 	"github.com/acaciaroute/acaciaroute/acaciakey"
+	"github.com/acaciaroute/acaciaroute/acaciapoison"
 	"github.com/acaciaroute/acaciaroute/acaciaprocess"
 	"github.com/acaciaroute/acaciaroute/acaciarun"
 )
@@ -114,13 +115,19 @@
 	a.requestCounts.Add(e.reservation.Class, e.reservation.Organisation, acaciaprocess.CountRunning, 1)
 	e.started = time.Now()
 	e.record(acaciaevent.RequestDispatched, acaciaroute.CodeOK, "")
-	a.crashDetector.runStarted(e.run.RequestID, acaciakey.RequestDigest(e.call.Method, e.call.Path, e.call.Body), e.reservation.Exclusive)
+	content := acaciakey.RequestDigest(e.call.Method, e.call.Path, e.call.Body)
+	traits := acaciapoison.Traits(e.reservation.Prefixes, content)
+	run := acaciapoison.Run{Traits: traits, Attempts: a.poisonRegistry.Attempts(traits)}
+	a.crashDetector.runStarted(e.run.RequestID, content, run, e.reservation.Exclusive)
 	code, detail := e.callEndpoint(ctx)
 	endCode := code
 	if ctx.Err() != nil {
 		endCode = acaciaroute.CodeCancelled
 	}
 	a.crashDetector.runEnded(a.runContext, e.run.RequestID, endCode)
+	if endCode == acaciaroute.CodeOK {
+		a.poisonRegistry.AddAnswer(traits)
+	}
 	a.requestCounts.Add(e.reservation.Class, e.reservation.Organisation, acaciaprocess.CountRunning, -1)
 	a.requestCounts.Add(e.reservation.Class, e.reservation.Organisation, acaciaprocess.CountDone, 1)
 	a.metrics.runTime.WithLabelValues(e.reservation.Class).Observe(time.Since(e.started).Seconds())
--- a/acaciacrash/table.go
+++ b/acaciacrash/table.go
@@ -33,6 +33,9 @@
 )
 
 const (
+	// MaxJitter is the most by which a process should prolong bans, as a share.
+	MaxJitter = 0.5
+
 	// minCrashes is the number of attempts ended by a crash that ban a trait.
 	minCrashes = 2
 	// initialBan is the duration of the first ban of a trait; it doubles with each further
@@ -69,6 +72,17 @@
 	return attempts
 }
 
+// Suspects reports whether a request with one of the traits crashed an endpoint and none has been
+// answered since.
+func (t *Table) Suspects(traits []Trait) bool {
+	for _, record := range t.records {
+		if !record.Cleared && slices.Contains(traits, record.Trait) {
+			return true
+		}
+	}
+	return false
+}
+
 // RecordCrash records that a request with the traits ran unproven on an endpoint that crashed.
 // The traits are in the order of their depth, the content is the last one; attempts is what
 // Attempts returned for them when the request was sent.
--- a/acaciaentry/serve.go
+++ b/acaciaentry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -33,26 +34,36 @@
 	e.dispatchRequest(w, r, req)
 }
 
-// checkPoison reports whether the request may run. It rejects content that has crashed an
-// endpoint while running alone, and makes suspected content run alone.
-func (e *Entry) checkPoison(w http.ResponseWriter, req *request) bool {
-	switch e.poison.Verdict(req.contentDigest()) {
-	case acaciapoison.Banned:
+// checkPoison returns why the request must not run, CodeOK if it may. It rejects content that has
+// crashed an endpoint while running alone, and prompts that begin like those that crashed several
+// endpoints; it makes suspected content run alone.
+func (e *Entry) checkPoison(w http.ResponseWriter, req *request) acaciaroute.Code {
+	content := req.contentDigest()
+	verdict := e.poison.Verdict(content)
+	if verdict == acaciapoison.Banned {
 		e.rejectRequest(w, req, acaciaroute.Errorf(acaciaroute.CodePoison, "an endpoint crashed while it ran this content alone"))
-		return false
-	case acaciapoison.Suspect:
+		return acaciaroute.CodePoison
+	}
+	if ban := e.poison.Refusal(acaciapoison.Traits(req.prompt.prefixes, content)); ban != nil {
+		e.rejectRequest(w, req, &acaciaroute.Error{
+			Code: acaciaroute.CodePoisonContent, Detail: fmt.Sprintf("%d endpoints crashed while running requests that begin like this one", ban.Crashes),
+			RetryAfter: max(time.Until(ban.Until), time.Second),
+		})
+		return acaciaroute.CodePoisonContent
+	}
+	if verdict == acaciapoison.Suspect {
 		e.process.Recorder.Record(req.newEvent(acaciaevent.RequestIsolated))
 		req.exclusive = true
 	}
-	return true
+	return acaciaroute.CodeOK
 }
 
 // dispatchRequest obtains a grant for the request, runs it and relays the response. It
 // returns the result code. If the code's NotRun method reports true, the request has not
 // run and never will.
 func (e *Entry) dispatchRequest(w http.ResponseWriter, r *http.Request, req *request) acaciaroute.Code {
-	if !e.checkPoison(w, req) {
-		return acaciaroute.CodePoison
+	if code := e.checkPoison(w, req); code != acaciaroute.CodeOK {
+		return code
 	}
 	var lastRunError *acaciaroute.Error
 	for attempt := 1; ; attempt++ {
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -93,8 +93,6 @@
 	// more urgent classes could use all of it: enough that callers of no class are turned away
 	// for good, and too little to be missed by the others.
 	guaranteedShare = 0.05
-	// maxBanJitter is the most by which a gateway prolongs bans, as a share.
-	maxBanJitter = 0.5
 	// drainDelay is how long a stopping gateway accepts all requests before it drains, so that
 	// the load balancer has time to see that it is not ready.
 	drainDelay = 2900 * time.Millisecond
@@ -109,7 +107,7 @@
 // New returns a gateway that has not been started. It uses the store and the recorder until
 // Close returns.
 func New(ctx context.Context, settings acaciaplatform.ProcessSettings, store *acaciaplatform.Store, recorder *acaciaevent.Recorder, metrics *Metrics) *Gateway {
-	crashes := acaciacrash.NewTable(rand.Float64() * maxBanJitter)
+	crashes := acaciacrash.NewTable(rand.Float64() * acaciacrash.MaxJitter)
 	return &Gateway{
 		settings: settings,
 		store:    store,
--- a/acaciapoison/registry.go
+++ b/acaciapoison/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciacrash"
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acacialoop"
 	"github.com/acaciaroute/acaciaroute/acaciastream"
@@ -66,6 +67,31 @@
 	return r.verdicts.verdict(content, time.Now())
 }
 
+// Refusal returns the ban for which a request with the traits is refused now; nil if it may run.
+func (r *Registry) Refusal(traits []acaciacrash.Trait) *acaciacrash.Ban {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.verdicts.crashes.Refusal(traits, time.Now())
+}
+
+// Attempts returns what a crash of a run that starts now is to report of its traits.
+func (r *Registry) Attempts(traits []acaciacrash.Trait) []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.verdicts.crashes.Attempts(traits)
+}
+
+// AddAnswer reports that a request with the traits was answered, if a crash makes one of them
+// suspect.
+func (r *Registry) AddAnswer(traits []acaciacrash.Trait) {
+	r.mu.Lock()
+	suspected := r.verdicts.crashes.Suspects(traits)
+	r.mu.Unlock()
+	if suspected {
+		r.AddReport(Report{Answered: traits, At: time.Now()})
+	}
+}
+
 // MarkSuspect marks a clean content as suspect in this process only, because its run
 // was interrupted.
 func (r *Registry) MarkSuspect(content string) {
--- a/acaciapoison/verdict.go
+++ b/acaciapoison/verdict.go
@@ -2,9 +2,15 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciacrash"
 )
 
 type (
@@ -12,21 +18,35 @@
 	Verdict int
 
 	// Report is one record of the stream. It names the contents that were running when
-	// an endpoint crashed, or a content that ran alone without a crash.
+	// an endpoint crashed, a content that ran alone without a crash, or traits that were
+	// answered after a crash.
 	Report struct {
 		Contents []string  `json:"contents"`
 		At       time.Time `json:"at"`
+		// Runs describes the requests that were running at the crash of an endpoint.
+		Runs []Run `json:"runs,omitempty"`
+		// Answered lists the traits of a request that was answered.
+		Answered []acaciacrash.Trait `json:"answered,omitempty"`
 		// Alone reports whether the content was the only one running.
 		Alone bool `json:"alone,omitempty"`
 		// Cleared reports whether the endpoint did not crash.
 		Cleared bool `json:"cleared,omitempty"`
 	}
 
+	// Run is a request that was running at a crash.
+	Run struct {
+		Traits []acaciacrash.Trait `json:"traits"`
+		// Attempts is what the process knew of the traits when the run started; see
+		// acaciacrash.Table.
+		Attempts []int `json:"attempts"`
+	}
+
 	// verdictTable holds the contents that are suspect or banned, with the times of
-	// their reports.
+	// their reports, and what crashed endpoints by traits that contents share.
 	verdictTable struct {
 		suspects map[string]time.Time
 		banned   map[string]time.Time
+		crashes  *acaciacrash.Table
 	}
 )
 
@@ -51,8 +71,20 @@
 	return [...]string{"clean", "suspect", "banned"}[v]
 }
 
+// Traits returns the traits of a request: the prefixes of its prompt, in order, and its content.
+func Traits(prefixes []uint64, content string) []acaciacrash.Trait {
+	traits := make([]acaciacrash.Trait, 0, len(prefixes)+1)
+	for _, prefix := range prefixes {
+		traits = append(traits, acaciacrash.Trait(prefix))
+	}
+	return append(traits, acaciacrash.Trait(xxhash.Sum64String(content)))
+}
+
 func newVerdictTable() *verdictTable {
-	return &verdictTable{suspects: map[string]time.Time{}, banned: map[string]time.Time{}}
+	return &verdictTable{
+		suspects: map[string]time.Time{}, banned: map[string]time.Time{},
+		crashes: acaciacrash.NewTable(rand.Float64() * acaciacrash.MaxJitter),
+	}
 }
 
 // applyRecord applies a record of the stream and ignores it if it cannot be decoded.
@@ -66,6 +98,13 @@
 }
 
 func (t *verdictTable) applyReport(report Report) {
+	crash := xxhash.Sum64String(strconv.FormatInt(report.At.UnixNano(), 10) + strings.Join(report.Contents, " "))
+	for _, run := range report.Runs {
+		if len(run.Attempts) == len(run.Traits) {
+			t.crashes.RecordCrash(crash, run.Traits, run.Attempts, report.At)
+		}
+	}
+	t.crashes.RecordAnswer(report.Answered, report.At)
 	for _, content := range report.Contents {
 		switch {
 		case report.Cleared:
