Endpoints that say they are leaving get no more requests

Cause: nothing read the header. Change: an answer of any kind marks that start of the endpoint as draining, in the scheduler and against later words of the store; another start ends the mark.

--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -78,6 +78,8 @@
 	StoreRestored Kind = 522
 	// RegistrationOutdated marks a registration of an endpoint that is older than what is known.
 	RegistrationOutdated Kind = 523
+	// EndpointLeaving marks that an endpoint has said in an answer that it is leaving.
+	EndpointLeaving Kind = 524
 
 	LeaseTaken   Kind = 601
 	OrderIssued  Kind = 602
@@ -157,6 +159,7 @@
 	EndpointLimited:      "endpoint_limited",
 	StoreRestored:        "store_restored",
 	RegistrationOutdated: "registration_outdated",
+	EndpointLeaving:      "endpoint_leaving",
 
 	LeaseTaken:   "lease_taken",
 	OrderIssued:  "order_issued",
--- a/acaciagateway/call.go
+++ b/acaciagateway/call.go
@@ -56,6 +56,7 @@
 	}
 	defer response.Close()
 	metadata := acaciaplatform.DecodeResponse(response.Header)
+	x.observeLeaving(response, metadata)
 	x.observeRateLimit(schedRequest, metadata)
 	if metadata.NotRun {
 		failure, err := x.classifyRefusal(response)
@@ -79,6 +80,17 @@
 	return x.relayPlain(ctx, response, wd)
 }
 
+// observeLeaving records whether the endpoint has said that it is leaving.
+func (x *exchange) observeLeaving(response *acaciaupstream.Response, metadata acaciaplatform.ResponseInfo) {
+	if !metadata.Leaving {
+		return
+	}
+	endpoint, event := *x.endpoint, x.newEvent(acaciaevent.EndpointLeaving)
+	misdirected := response.Status == http.StatusMisdirectedRequest
+	g := x.gateway
+	g.loop.Post(func() { g.recordLeaving(endpoint, misdirected, event) })
+}
+
 // observeRateLimit tells the scheduler whether the endpoint limits the requests that it accepts.
 func (x *exchange) observeRateLimit(schedRequest *acaciaschedule.Request, metadata acaciaplatform.ResponseInfo) {
 	limit := acaciaschedule.RateLimit{Limited: metadata.Limited, Rate: metadata.RateLimit}
--- a/acaciagateway/metrics.go
+++ b/acaciagateway/metrics.go
@@ -22,6 +22,7 @@
 	storeEra             prometheus.Gauge
 	bannedTraits         prometheus.Gauge
 	limitedEndpoints     prometheus.Gauge
+	leavingEndpoints     prometheus.Gauge
 	endpointCrashes      *prometheus.CounterVec
 }
 
@@ -58,11 +59,14 @@
 		limitedEndpoints: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "acaciaroute_gateway_limited_endpoints", Help: "Endpoints that announce a limit of requests a second.",
 		}),
+		leavingEndpoints: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "acaciaroute_gateway_leaving_endpoints", Help: "Endpoints that are draining, by their own word or the store's.",
+		}),
 		endpointCrashes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "acaciaroute_gateway_endpoint_crashes_total", Help: "Requests that broke off because their endpoint crashed, by service.",
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.storeEra, m.bannedTraits, m.limitedEndpoints, m.endpointCrashes)
+	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.storeEra, m.bannedTraits, m.limitedEndpoints, m.leavingEndpoints, m.endpointCrashes)
 	m.registry.MustRegister(others...)
 	return m
 }
@@ -93,6 +97,7 @@
 	m.storeEra.Set(float64(g.era.era()))
 	m.bannedTraits.Set(float64(len(g.crashes.Bans())))
 	m.limitedEndpoints.Set(float64(g.scheduler.CountLimited()))
+	m.leavingEndpoints.Set(float64(g.scheduler.CountDraining()))
 	if current := g.configuration.Load(); current != nil {
 		m.configurationVersion.Set(float64(current.Version))
 	}
--- a/acaciagateway/registration.go
+++ b/acaciagateway/registration.go
@@ -15,6 +15,9 @@
 		newest map[string]registration
 		// outdated holds what the store lists though a newer registration, or its removal, is known.
 		outdated map[string]acaciasite.EndpointChange
+		// leaving holds the start of each endpoint that has said that it is leaving. That holds
+		// until the endpoint starts again, whatever the store says of it.
+		leaving map[string]time.Time
 	}
 
 	// registration identifies a registration of an endpoint.
@@ -36,7 +39,7 @@
 )
 
 func newRegistrations() *registrations {
-	return &registrations{newest: map[string]registration{}, outdated: map[string]acaciasite.EndpointChange{}}
+	return &registrations{newest: map[string]registration{}, outdated: map[string]acaciasite.EndpointChange{}, leaving: map[string]time.Time{}}
 }
 
 // add records a registration and reports whether it is at least as new as the newest one known.
@@ -86,16 +89,32 @@
 func (r *registrations) forget(id string) {
 	if r.newest[id].removed {
 		delete(r.newest, id)
+		delete(r.leaving, id)
 	}
 }
 
+// markLeaving records that an endpoint has said that it is leaving, and reports whether that is new.
+func (r *registrations) markLeaving(endpoint acaciasite.Endpoint) bool {
+	if r.isLeaving(endpoint) {
+		return false
+	}
+	r.leaving[endpoint.ID] = endpoint.StartedAt
+	return true
+}
+
+// isLeaving reports whether an endpoint has said, since its start, that it is leaving.
+func (r *registrations) isLeaving(endpoint acaciasite.Endpoint) bool {
+	startedAt, marked := r.leaving[endpoint.ID]
+	return marked && startedAt.Equal(endpoint.StartedAt)
+}
+
 // applyRegistration applies a registration that the store lists. One that is older than what is
 // known must wait until the store would have dropped it if its endpoint no longer wrote. It must be
 // called on the loop.
 func (g *Gateway) applyRegistration(change acaciasite.EndpointChange) {
 	registrations := g.endpoints.registrations
 	if registrations.add(change) {
-		g.applyEndpoint(change)
+		g.applyListed(change)
 		return
 	}
 	g.recorder.Record(acaciaevent.Event{
@@ -103,12 +122,44 @@
 	})
 	g.loop.After(expiryHeartbeats*g.settings.HeartbeatInterval, func() {
 		if registrations.accept(change) {
-			g.applyEndpoint(change)
+			g.applyListed(change)
 			g.runScheduler()
 		}
 	})
 }
 
+// applyListed applies the registration of an endpoint, as that of a draining one if the endpoint
+// has said that it is leaving. It must be called on the loop.
+func (g *Gateway) applyListed(change acaciasite.EndpointChange) {
+	if g.endpoints.registrations.isLeaving(*change.Endpoint) {
+		endpoint := *change.Endpoint
+		endpoint.Draining = true
+		change.Endpoint = &endpoint
+	}
+	g.applyEndpoint(change)
+}
+
+// recordLeaving records that the endpoint that answered the exchange's request has said that it is
+// leaving. An endpoint that was not meant may be another one at that address. It must be called on
+// the loop.
+func (g *Gateway) recordLeaving(endpoint acaciasite.Endpoint, misdirected bool, event acaciaevent.Event) {
+	leaving := []acaciasite.Endpoint{endpoint}
+	if misdirected {
+		leaving = append(leaving, g.scheduler.EndpointsAt(endpoint.Address)...)
+	}
+	for _, endpoint := range leaving {
+		if !g.endpoints.registrations.markLeaving(endpoint) {
+			continue
+		}
+		event.Endpoint = endpoint.ID
+		g.recorder.Record(event)
+		if known := g.scheduler.Endpoint(endpoint.ID); known != nil {
+			g.applyListed(acaciasite.EndpointChange{ID: endpoint.ID, Endpoint: known})
+		}
+	}
+	g.runScheduler()
+}
+
 // forgetRegistration records that the store has removed a registration, and discards it later. It
 // must be called on the loop.
 func (g *Gateway) forgetRegistration(id string) {
--- a/acaciagateway/testbed_test.go
+++ b/acaciagateway/testbed_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,6 +102,29 @@
 	return ids
 }
 
+// waitingCount returns the number of requests that wait for a slot.
+func (g *Gateway) waitingCount() (count int) {
+	g.loop.Do(func() { count = len(g.waiters) })
+	return count
+}
+
+// answeringServer starts an endpoint that answers all requests and counts them.
+func answeringServer(t *testing.T, requests *atomic.Int64) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		writeResponse(w, r, "")
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+// registerAnswering starts and registers an endpoint that answers all requests and counts them.
+func (b *testbed) registerAnswering(id string, requests *atomic.Int64) {
+	b.t.Helper()
+	registerEndpoint(b.t, b.store, id, answeringServer(b.t, requests).Listener.Addr().String(), false)
+}
+
 // waitFor polls until a condition holds. The timeout only ends a test that hangs.
 func waitFor(t *testing.T, condition func() bool) {
 	t.Helper()
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -129,6 +129,28 @@
 	return &info
 }
 
+// EndpointsAt returns the registrations of the endpoints at an address.
+func (s *Scheduler) EndpointsAt(address string) []acaciasite.Endpoint {
+	var found []acaciasite.Endpoint
+	for _, e := range s.endpointsByID {
+		if e.info.Address == address {
+			found = append(found, e.info)
+		}
+	}
+	return found
+}
+
+// CountDraining returns the number of endpoints that are draining.
+func (s *Scheduler) CountDraining() int {
+	n := 0
+	for _, e := range s.endpointsByID {
+		if e.info.Draining {
+			n++
+		}
+	}
+	return n
+}
+
 // Enqueue adds a request to the queue of its service, on which DecideWaiting decides.
 func (s *Scheduler) Enqueue(request *Request) {
 	svc := s.getOrCreateService(request.Service)
