Endpoints get no requests for the time that they name when they turn one away

Cause: Retry-After of an endpoint was passed over; one that refused got nothing for 60 ms.

It holds for first sends, waiting requests, retries and resumed streams; a request whose connection was being opened is withdrawn; it outlasts the endpoint's absence from the list. After it one request is sent until that is answered. The expected wait holds the time until the first backoff of a service ends.

--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -80,6 +80,10 @@
 	RegistrationOutdated Kind = 523
 	// EndpointLeaving marks that an endpoint has said in an answer that it is leaving.
 	EndpointLeaving Kind = 524
+	// EndpointBackoff and EndpointBackoffEnded mark the time for which an endpoint that turned a
+	// request away wants none from this process.
+	EndpointBackoff      Kind = 525
+	EndpointBackoffEnded Kind = 526
 
 	LeaseTaken   Kind = 601
 	OrderIssued  Kind = 602
@@ -160,6 +164,8 @@
 	StoreRestored:        "store_restored",
 	RegistrationOutdated: "registration_outdated",
 	EndpointLeaving:      "endpoint_leaving",
+	EndpointBackoff:      "endpoint_backoff",
+	EndpointBackoffEnded: "endpoint_backoff_ended",
 
 	LeaseTaken:   "lease_taken",
 	OrderIssued:  "order_issued",
--- a/acaciagateway/call.go
+++ b/acaciagateway/call.go
@@ -28,6 +28,9 @@
 	outcomeFailed
 	// outcomeCallerGone means that the caller has disconnected or has stopped reading.
 	outcomeCallerGone
+	// outcomeWithdrawn means that the request was not sent, because the endpoint has asked for no
+	// requests while the connection was opened.
+	outcomeWithdrawn
 )
 
 // aliveCheckTimeout bounds the check whether an endpoint still accepts connections after a call
@@ -50,6 +53,7 @@
 		}),
 		Body:            x.body,
 		MatchesResponse: x.matchesRequest,
+		Withdrawn:       func() bool { return x.endpointBacksOff(schedRequest) },
 	})
 	if err != nil {
 		return x.classifySendError(ctx, wd, err)
@@ -58,6 +62,9 @@
 	metadata := acaciaplatform.DecodeResponse(response.Header)
 	x.observeLeaving(response, metadata)
 	x.observeRateLimit(schedRequest, metadata)
+	if response.Status == http.StatusServiceUnavailable && metadata.RetryAfter != "" {
+		x.observeBackoff(schedRequest, metadata)
+	}
 	if metadata.NotRun {
 		failure, err := x.classifyRefusal(response)
 		return outcomeNotRun, failure, err
@@ -104,6 +111,40 @@
 	})
 }
 
+// observeBackoff tells the scheduler for how long the endpoint wants no requests, and records when
+// that begins and ends.
+func (x *exchange) observeBackoff(schedRequest *acaciaschedule.Request, metadata acaciaplatform.ResponseInfo) {
+	asked := acaciaschedule.Backoff{Duration: metadata.Backoff, Readable: metadata.BackoffReadable}
+	event := x.newEvent(acaciaevent.EndpointBackoff)
+	event.Detail = fmt.Sprintf("Retry-After %.40q", metadata.RetryAfter)
+	g := x.gateway
+	g.loop.Post(func() {
+		now := g.loop.Now()
+		until, changed := g.scheduler.RecordBackoff(schedRequest, asked, now)
+		if !changed {
+			return
+		}
+		event.Inputs = &acaciaevent.Inputs{RetryAfter: acaciaevent.RoundDuration(until.Sub(now))}
+		g.recorder.Record(event)
+		if !asked.Readable {
+			return
+		}
+		g.loop.After(until.Sub(now), func() {
+			event.Kind, event.RequestID, event.Inputs = acaciaevent.EndpointBackoffEnded, "", nil
+			g.recorder.Record(event)
+			g.runScheduler()
+		})
+	})
+}
+
+// endpointBacksOff reports whether the endpoint of a request wants no requests now.
+func (x *exchange) endpointBacksOff(schedRequest *acaciaschedule.Request) bool {
+	backsOff := false
+	g := x.gateway
+	g.loop.Do(func() { backsOff = g.scheduler.BacksOff(schedRequest, g.loop.Now()) })
+	return backsOff
+}
+
 // matchesRequest reports whether a response belongs to the request. A refusal without a
 // request ID does on a new connection; on a reused one it may be a late copy of the refusal of
 // another request, while this one runs.
@@ -114,6 +155,9 @@
 
 // classifySendError returns the outcome of a call that returned no response.
 func (x *exchange) classifySendError(ctx context.Context, wd *watchdog, err error) (callOutcome, acaciaschedule.Failure, error) {
+	if errors.Is(err, acaciaupstream.ErrWithdrawn) {
+		return outcomeWithdrawn, 0, err
+	}
 	var upstreamErr *acaciaupstream.Error
 	unreachable := errors.As(err, &upstreamErr) && !upstreamErr.Reached
 	if !unreachable {
--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -96,6 +96,8 @@
 		case outcome == outcomeCallerGone || ctx.Err() != nil:
 			x.endCancelled(ctx, outcome)
 			return
+		case outcome == outcomeWithdrawn:
+			continue
 		}
 		if !x.prepareRetry(ctx, outcome, failure, err) {
 			return
--- a/acaciagateway/metrics.go
+++ b/acaciagateway/metrics.go
@@ -23,6 +23,7 @@
 	bannedTraits         prometheus.Gauge
 	limitedEndpoints     prometheus.Gauge
 	leavingEndpoints     prometheus.Gauge
+	backoffEndpoints     prometheus.Gauge
 	endpointCrashes      *prometheus.CounterVec
 }
 
@@ -62,11 +63,14 @@
 		leavingEndpoints: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "acaciaroute_gateway_leaving_endpoints", Help: "Endpoints that are draining, by their own word or the store's.",
 		}),
+		backoffEndpoints: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "acaciaroute_gateway_backoff_endpoints", Help: "Endpoints that want no requests from this gateway now.",
+		}),
 		endpointCrashes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "acaciaroute_gateway_endpoint_crashes_total", Help: "Requests that broke off because their endpoint crashed, by service.",
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.storeEra, m.bannedTraits, m.limitedEndpoints, m.leavingEndpoints, m.endpointCrashes)
+	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.storeEra, m.bannedTraits, m.limitedEndpoints, m.leavingEndpoints, m.backoffEndpoints, m.endpointCrashes)
 	m.registry.MustRegister(others...)
 	return m
 }
@@ -97,6 +101,7 @@
 	m.storeEra.Set(float64(g.era.era()))
 	m.bannedTraits.Set(float64(len(g.crashes.Bans())))
 	m.limitedEndpoints.Set(float64(g.scheduler.CountLimited()))
+	m.backoffEndpoints.Set(float64(g.scheduler.CountBackoffs(g.loop.Now())))
 	m.leavingEndpoints.Set(float64(g.scheduler.CountDraining()))
 	if current := g.configuration.Load(); current != nil {
 		m.configurationVersion.Set(float64(current.Version))
--- a/acaciaschedule/decision.go
+++ b/acaciaschedule/decision.go
@@ -126,6 +126,7 @@
 	request.prefillTokens = e.tokensToPrefill(request)
 	e.ownRunning++
 	e.limiter.take()
+	e.backoff.start(request)
 	e.startPrefill(request)
 	if len(request.Prompt) > 0 {
 		svc.recordPrompt(e, request.Prompt)
--- a/acaciaschedule/place.go
+++ b/acaciaschedule/place.go
@@ -50,8 +50,10 @@
 		// unreachableUntil is until when other processes are told that this process could not
 		// connect to the endpoint; zero after a success.
 		unreachableUntil time.Time
-		// limiter keeps to the rate of requests that the endpoint accepts.
+		// limiter keeps to the rate of requests that the endpoint accepts, backoff to the times
+		// for which it wants none.
 		limiter rateLimiter
+		backoff backoff
 	}
 )
 
@@ -98,7 +100,7 @@
 
 // freeSlots returns how many more requests the endpoint can be given.
 func (s *Scheduler) freeSlots(e *endpoint, now time.Time) int {
-	if !e.usable() || now.Before(e.suspendedUntil) {
+	if !e.available(now) {
 		return 0
 	}
 	slots := e.info.Slots
@@ -112,7 +114,7 @@
 	case e.completionInterval() <= maxPrefetchInterval:
 		slots += s.settings.Prefetch
 	}
-	return s.limitedSlots(e, max(0, slots-e.running()), now)
+	return s.limitedSlots(e, e.backoff.limit(max(0, slots-e.running()), now), now)
 }
 
 // inOtherRegion reports whether the endpoint is in another region than this process.
@@ -125,6 +127,11 @@
 	return !e.removed && !e.info.Draining
 }
 
+// available reports whether the endpoint is usable and neither suspended nor backing off.
+func (e *endpoint) available(now time.Time) bool {
+	return e.usable() && !now.Before(e.suspendedUntil) && !e.backoff.active(now)
+}
+
 // distancePenalty returns the time added for an endpoint in another data centre or region.
 func (s *Scheduler) distancePenalty(e *endpoint) time.Duration {
 	switch {
@@ -145,7 +152,7 @@
 	waitingPerEndpoint := svc.waitingPerEndpoint(request)
 	for _, id := range svc.endpointIDs {
 		e := svc.endpoints[id]
-		if !e.usable() || now.Before(e.suspendedUntil) || request.excludes(id) {
+		if !e.available(now) || request.excludes(id) {
 			continue
 		}
 		prefillCost := svc.prefillCost(e, request, waitingPerEndpoint)
--- a/acaciaschedule/queue.go
+++ b/acaciaschedule/queue.go
@@ -71,16 +71,16 @@
 // expectedWait estimates how long a request waits for a slot: the number of requests of its
 // rank or a more urgent one that wait in all processes, itself included, times the time that
 // a request holds a slot, divided by the number of slots. Without a usable endpoint
-// that is not suspended, it returns priorHoldTime.
+// that is not suspended, it returns priorHoldTime, after the first endpoint's backoff.
 func (svc *service) expectedWait(request *Request, now time.Time) time.Duration {
 	slots := 0.0
 	for _, e := range svc.endpoints {
-		if e.usable() && !now.Before(e.suspendedUntil) {
+		if e.available(now) {
 			slots += e.effectiveSlots(svc.holdTime)
 		}
 	}
 	if slots == 0 {
-		return priorHoldTime
+		return svc.untilFirstBackoffEnds(now) + priorHoldTime
 	}
 	ahead := svc.countPeerWaiting(func(rank int) bool { return rank <= request.queueRank() })
 	for _, other := range svc.waiting {
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -39,6 +39,8 @@
 		// reachableShare is the number of reachable processes as a share of those that may be
 		// alive.
 		reachableShare float64
+		// keptBackoffs holds the backoffs of endpoints that were removed, by their IDs.
+		keptBackoffs map[string]keptBackoff
 		// sentPrompts holds the prompts sent since the last report.
 		sentPrompts []SentPrompt
 	}
@@ -88,6 +90,7 @@
 		serviceByEndpointID: map[string]*service{},
 		lastReports:         map[string]time.Time{},
 		peerLoads:           map[string][]peerLoad{},
+		keptBackoffs:        map[string]keptBackoff{},
 		reachableShare:      1,
 	}
 }
@@ -112,6 +115,7 @@
 	s.removeEndpoint(change.ID)
 	svc := s.getOrCreateService(info.Service)
 	e := &endpoint{info: info, service: svc, cache: acaciaprefix.NewCache(0)}
+	s.restoreBackoff(e)
 	s.endpointsByID[info.ID], s.endpointsByKey[KeyOf(info.ID)], s.serviceByEndpointID[info.ID] = e, e, svc
 	svc.endpoints[info.ID] = e
 	svc.endpointIDs = append(svc.endpointIDs, info.ID)
@@ -178,6 +182,7 @@
 	e.endPrefill(request)
 	request.service.recordFirstByte(e, request, now.Sub(request.placedAt), request.occupancy)
 	e.recordSuccess()
+	e.backoff.answered(request)
 }
 
 // HasFasterEndpoint reports whether another endpoint has a free slot for a stream
@@ -232,6 +237,7 @@
 	}
 	e.ownRunning--
 	e.endPrefill(request)
+	e.backoff.end(request)
 	held := now.Sub(request.placedAt)
 	svc.shares.add(request.Class, held, now)
 	svc.holdTime += time.Duration(holdTimeWeight * float64(held-svc.holdTime))
@@ -297,6 +303,7 @@
 		return
 	}
 	e.removed = true
+	s.keepBackoff(e)
 	svc := s.serviceByEndpointID[id]
 	delete(svc.endpoints, id)
 	delete(s.endpointsByID, id)
--- a/acaciaupstream/call.go
+++ b/acaciaupstream/call.go
@@ -26,6 +26,9 @@
 		// MatchesResponse reports whether a response with these headers belongs to
 		// the request; reused tells whether the connection has served others before.
 		MatchesResponse func(header http.Header, reused bool) bool
+		// Withdrawn, if set, reports whether the request must not be sent any more. It is asked
+		// after a new connection has been opened, which may have taken long.
+		Withdrawn func() bool
 	}
 
 	// Response is an endpoint's response: its status and headers, and its body as a
@@ -69,6 +72,9 @@
 	headerKeepAlive         = "Keep-Alive"
 )
 
+// ErrWithdrawn is the cause of an error of a call whose request was withdrawn before it was sent.
+var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
+
 var (
 	errMismatchedResponses = errors.New("the responses on the connection belong to other requests")
 	errBodyTooLong         = errors.New("the body to discard is too long")
@@ -91,6 +97,10 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if !conn.reused && call.Withdrawn != nil && call.Withdrawn() {
+		p.put(conn, 0)
+		return nil, &Error{Err: ErrWithdrawn}
+	}
 	response := &Response{pool: p, connection: conn, writeResult: make(chan error, 1)}
 	response.stopContextWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	response.writeRequest(call)
--- a/acaciaupstream/pool_test.go
+++ b/acaciaupstream/pool_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -188,3 +190,20 @@
 	assert.ErrorIs(t, err, context.Canceled)
 	<-connectionClosed
 }
+
+// A request that is withdrawn while its connection is opened is not sent; the connection is kept for
+// the next one.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	p := NewPool()
+	defer p.Close()
+	_, err := p.Send(t.Context(), Call{Address: address, Method: http.MethodPost, Target: "/", Withdrawn: func() bool { return true }})
+	var callErr *Error
+	assert.Check(t, errors.As(err, &callErr) && !callErr.Reached)
+	assert.Check(t, errors.Is(err, ErrWithdrawn))
+	assert.Equal(t, len(p.idle[address]), 1)
+	assert.Equal(t, requests.Load(), int64(0))
+}
