One copy of gauges, of endpoint counts, of soak faults; endpoints of the scheduler in a file

A gateway without a configuration no longer asks a peer that has none either, which logged a failed call at each start.
- soaks: the faults that three of them inject have names, drawn in the same order as before.

--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -82,12 +82,10 @@
 		Sequence:        g.messageSequence,
 		Region:          g.settings.Region,
 		Report:          g.scheduler.BuildReport(now),
+		Version:         g.configurationVersion(),
 		StoreReadableMS: g.endpoints.readableFor(now).Milliseconds(),
 		Leaving:         leaving,
 	}
-	if current := g.configuration.Load(); current != nil {
-		message.Version = current.Version
-	}
 	near, far := g.members.NextTargets(now)
 	g.sendMessage(message, g.near, near)
 	g.sendMessage(message, g.far, far)
@@ -209,8 +207,7 @@
 	if g.endpoints.recordPeerReadable(time.Duration(message.StoreReadableMS)*time.Millisecond, now) {
 		g.dropAllMissing()
 	}
-	current := g.configuration.Load()
-	if current == nil || current.Version < message.Version {
+	if g.configurationVersion() < message.Version {
 		g.startConfigurationFetch(from)
 	}
 	if len(g.waiters) > 0 {
--- a/acaciagateway/metrics.go
+++ b/acaciagateway/metrics.go
@@ -42,30 +42,14 @@
 			Name: "acaciaroute_gateway_answer_seconds", Help: "Time from arrival to the end of the answer.",
 			Buckets: prometheus.ExponentialBuckets(0.02, 2, 11),
 		}, []string{"class"}),
-		waitingRequests: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "acaciaroute_gateway_waiting", Help: "Requests that wait for a place.",
-		}),
-		processes: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "acaciaroute_gateway_processes", Help: "Live gateways, this one too.",
-		}),
-		configurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "acaciaroute_gateway_configuration_version", Help: "Version of the configuration in force.",
-		}),
-		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "acaciaroute_gateway_store_era", Help: "Era of the store; it rises when the store is restored from a copy.",
-		}),
-		bannedTraits: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "acaciaroute_gateway_banned", Help: "Prompt segments and contents that crashed endpoints and are refused.",
-		}),
-		limitedEndpoints: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "acaciaroute_gateway_limited_endpoints", Help: "Endpoints that announce a limit of requests a second.",
-		}),
-		leavingEndpoints: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "acaciaroute_gateway_leaving_endpoints", Help: "Endpoints that are draining, by their own word or the store's.",
-		}),
-		backoffEndpoints: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "acaciaroute_gateway_backoff_endpoints", Help: "Endpoints that want no requests from this gateway now.",
-		}),
+		waitingRequests:      newGauge("acaciaroute_gateway_waiting", "Requests that wait for a place."),
+		processes:            newGauge("acaciaroute_gateway_processes", "Live gateways, this one too."),
+		configurationVersion: newGauge("acaciaroute_gateway_configuration_version", "Version of the configuration in force."),
+		storeEra:             newGauge("acaciaroute_gateway_store_era", "Era of the store; it rises when the store is restored from a copy."),
+		bannedTraits:         newGauge("acaciaroute_gateway_banned", "Prompt segments and contents that crashed endpoints and are refused."),
+		limitedEndpoints:     newGauge("acaciaroute_gateway_limited_endpoints", "Endpoints that announce a limit of requests a second."),
+		leavingEndpoints:     newGauge("acaciaroute_gateway_leaving_endpoints", "Endpoints that are draining, by their own word or the store's."),
+		backoffEndpoints:     newGauge("acaciaroute_gateway_backoff_endpoints", "Endpoints that want no requests from this gateway now."),
 		endpointCrashes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "acaciaroute_gateway_endpoint_crashes_total", Help: "Requests that broke off because their endpoint crashed, by service.",
 		}, []string{"service"}),
@@ -75,6 +59,10 @@
 	return m
 }
 
+func newGauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+}
+
 func (m *Metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
@@ -100,10 +88,9 @@
 	m.processes.Set(float64(g.members.Count()))
 	m.storeEra.Set(float64(g.era.era()))
 	m.bannedTraits.Set(float64(len(g.crashes.Bans())))
-	m.limitedEndpoints.Set(float64(g.scheduler.CountLimited()))
-	m.backoffEndpoints.Set(float64(g.scheduler.CountBackoffs(g.loop.Now())))
-	m.leavingEndpoints.Set(float64(g.scheduler.CountDraining()))
-	if current := g.configuration.Load(); current != nil {
-		m.configurationVersion.Set(float64(current.Version))
-	}
+	counts := g.scheduler.CountEndpoints(g.loop.Now())
+	m.limitedEndpoints.Set(float64(counts.Limited))
+	m.backoffEndpoints.Set(float64(counts.BackingOff))
+	m.leavingEndpoints.Set(float64(counts.Draining))
+	m.configurationVersion.Set(float64(g.configurationVersion()))
 }
--- a/acaciagateway/watch.go
+++ b/acaciagateway/watch.go
@@ -44,7 +44,7 @@
 		event := acaciaevent.Event{
 			Kind: acaciaevent.ConfigurationApplied, Version: acaciaroute.Offset(loaded.Version), Detail: "from " + source,
 		}
-		if current := g.configuration.Load(); current != nil && current.Version >= loaded.Version {
+		if g.configuration.Load() != nil && g.configurationVersion() >= loaded.Version {
 			event.Kind = acaciaevent.ConfigurationOutdated
 			g.recorder.Record(event)
 			return
@@ -56,6 +56,14 @@
 	})
 }
 
+// configurationVersion returns the version of the configuration in force, zero if there is none.
+func (g *Gateway) configurationVersion() int64 {
+	if current := g.configuration.Load(); current != nil {
+		return current.Version
+	}
+	return 0
+}
+
 // followEndpoints keeps the list of endpoints up to date.
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	f := topicFollower{
--- a/acaciaschedule/backoff.go
+++ b/acaciaschedule/backoff.go
@@ -61,17 +61,6 @@
 	return request.endpoint != nil && request.endpoint.backoff.active(now)
 }
 
-// CountBackoffs returns the number of endpoints that want no requests now.
-func (s *Scheduler) CountBackoffs(now time.Time) int {
-	n := 0
-	for _, e := range s.endpointsByID {
-		if e.backoff.active(now) {
-			n++
-		}
-	}
-	return n
-}
-
 // keepBackoff keeps the backoff of an endpoint that is removed from the list: the store may list it
 // again before it ends.
 func (s *Scheduler) keepBackoff(e *endpoint) {
--- a/acaciaschedule/backoff_test.go
+++ b/acaciaschedule/backoff_test.go
@@ -59,7 +59,7 @@
 func TestEndpointGetsNoRequestsDuringBackoffAndOneAfterIt(t *testing.T) {
 	b := newBackoffBed(t, Backoff{Duration: 2 * time.Second, Readable: true})
 	assert.Equal(t, len(b.place(4, 1)), 0)
-	assert.Equal(t, b.CountBackoffs(atMillis(1)), 1)
+	assert.Equal(t, b.CountEndpoints(atMillis(1)).BackingOff, 1)
 	for ms := 100; ms < 2000; ms += 100 {
 		assert.Equal(t, len(b.placed(ms)), 0, "at %d ms", ms)
 	}
@@ -68,7 +68,7 @@
 	assert.Equal(t, len(b.placed(2050)), 0)
 	b.RecordFirstByte(probe[0], atMillis(2100))
 	assert.Equal(t, len(b.placed(2100)), 3)
-	assert.Equal(t, b.CountBackoffs(atMillis(2100)), 0)
+	assert.Equal(t, b.CountEndpoints(atMillis(2100)).BackingOff, 0)
 }
 
 // A request that fails at the end of the backoff leaves its place to another one.
@@ -100,14 +100,14 @@
 // A backoff is bounded, and one that can't be read is none and is reported once.
 func TestBackoffIsReadWithinBounds(t *testing.T) {
 	b := newBackoffBed(t, Backoff{Duration: 24 * time.Hour, Readable: true})
-	assert.Equal(t, b.CountBackoffs(start.Add(MaxBackoff-1)), 1)
-	assert.Equal(t, b.CountBackoffs(start.Add(MaxBackoff)), 0)
+	assert.Equal(t, b.CountEndpoints(start.Add(MaxBackoff-1)).BackingOff, 1)
+	assert.Equal(t, b.CountEndpoints(start.Add(MaxBackoff)).BackingOff, 0)
 
 	b = newBackoffBed(t, Backoff{Readable: true})
-	assert.Equal(t, b.CountBackoffs(atMillis(0)), 0)
+	assert.Equal(t, b.CountEndpoints(atMillis(0)).BackingOff, 0)
 	assert.Check(t, b.turnAway(t, Backoff{}, 100))
 	assert.Check(t, !b.turnAway(t, Backoff{}, 200))
-	assert.Equal(t, b.CountBackoffs(atMillis(200)), 0)
+	assert.Equal(t, b.CountEndpoints(atMillis(200)).BackingOff, 0)
 }
 
 // While all endpoints of a service back off, requests with time left wait for the first of them, and
--- /dev/null
+++ b/acaciaschedule/endpoints.go
@@ -0,0 +1,101 @@
+package acaciaschedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/acaciaroute/acaciaroute/acaciaprefix"
+	"github.com/acaciaroute/acaciaroute/acaciasite"
+)
+
+// Counts are the numbers of endpoints that take fewer requests than they have slots for.
+type Counts struct {
+	// Draining endpoints take none any more, BackingOff ones none for a while, Limited ones so many
+	// a second.
+	Draining   int
+	BackingOff int
+	Limited    int
+}
+
+// ApplyEndpointChange applies a change to the list of endpoints and reports whether
+// anything changed.
+func (s *Scheduler) ApplyEndpointChange(change acaciasite.EndpointChange) bool {
+	known := s.endpointsByID[change.ID]
+	if change.Endpoint == nil {
+		if known == nil {
+			return false
+		}
+		s.removeEndpoint(change.ID)
+		return true
+	}
+	info := *change.Endpoint
+	if known != nil && known.info.StartedAt.Equal(info.StartedAt) && known.info.Service == info.Service && known.info.Address == info.Address {
+		changed := known.info != info
+		known.info = info
+		return changed
+	}
+	s.removeEndpoint(change.ID)
+	svc := s.getOrCreateService(info.Service)
+	e := &endpoint{info: info, service: svc, cache: acaciaprefix.NewCache(0)}
+	s.restoreBackoff(e)
+	s.endpointsByID[info.ID], s.endpointsByKey[KeyOf(info.ID)], s.serviceByEndpointID[info.ID] = e, e, svc
+	svc.endpoints[info.ID] = e
+	svc.endpointIDs = append(svc.endpointIDs, info.ID)
+	slices.Sort(svc.endpointIDs)
+	return true
+}
+
+// Endpoint returns the registration of an endpoint, nil if it isn't known.
+func (s *Scheduler) Endpoint(id string) *acaciasite.Endpoint {
+	known := s.endpointsByID[id]
+	if known == nil {
+		return nil
+	}
+	info := known.info
+	return &info
+}
+
+// EndpointsAt returns the registrations of the endpoints at an address.
+func (s *Scheduler) EndpointsAt(address string) []acaciasite.Endpoint {
+	var found []acaciasite.Endpoint
+	for _, e := range s.endpointsByID {
+		if e.info.Address == address {
+			found = append(found, e.info)
+		}
+	}
+	return found
+}
+
+// CountEndpoints returns the numbers of restricted endpoints.
+func (s *Scheduler) CountEndpoints(now time.Time) Counts {
+	var counts Counts
+	for _, e := range s.endpointsByID {
+		if e.info.Draining {
+			counts.Draining++
+		}
+		if e.backoff.active(now) {
+			counts.BackingOff++
+		}
+		if e.limiter.Limited {
+			counts.Limited++
+		}
+	}
+	return counts
+}
+
+// removeEndpoint removes an endpoint from its service. Requests that it still runs
+// continue.
+func (s *Scheduler) removeEndpoint(id string) {
+	e := s.endpointsByID[id]
+	if e == nil {
+		return
+	}
+	e.removed = true
+	s.keepBackoff(e)
+	svc := s.serviceByEndpointID[id]
+	delete(svc.endpoints, id)
+	delete(s.endpointsByID, id)
+	delete(s.endpointsByKey, KeyOf(id))
+	delete(s.serviceByEndpointID, id)
+	svc.endpointIDs = slices.DeleteFunc(svc.endpointIDs, func(other string) bool { return other == id })
+}
--- a/acaciaschedule/limit.go
+++ b/acaciaschedule/limit.go
@@ -91,17 +91,6 @@
 	s.reachableShare = share
 }
 
-// CountLimited returns the number of endpoints that announce a limit.
-func (s *Scheduler) CountLimited() int {
-	n := 0
-	for _, e := range s.endpointsByID {
-		if e.limiter.Limited {
-			n++
-		}
-	}
-	return n
-}
-
 // setLimit applies a limit that an endpoint has announced, unless a later answer is known, and
 // reports whether it changes anything.
 func (s *Scheduler) setLimit(e *endpoint, limit EndpointLimit, now time.Time) bool {
--- a/acaciaschedule/limit_test.go
+++ b/acaciaschedule/limit_test.go
@@ -227,7 +227,7 @@
 	}
 	report(limited, atMillis(100), atMillis(150))
 	assert.Equal(t, e.limiter.RateLimit, limited)
-	assert.Equal(t, s.CountLimited(), 1)
+	assert.Equal(t, s.CountEndpoints(atMillis(0)).Limited, 1)
 	request := newRequest("r", 0, atMillis(200))
 	request.endpoint, request.service = e, e.service
 	assert.Check(t, s.RecordRateLimit(request, RateLimit{}, atMillis(300)))
--- a/acaciaschedule/scheduler.go
+++ b/acaciaschedule/scheduler.go
@@ -3,9 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/acaciaroute/acaciaroute/acaciaprefix"
-	"github.com/acaciaroute/acaciaroute/acaciasite"
 )
 
 type (
@@ -95,66 +92,6 @@
 	}
 }
 
-// ApplyEndpointChange applies a change to the list of endpoints and reports whether
-// anything changed.
-func (s *Scheduler) ApplyEndpointChange(change acaciasite.EndpointChange) bool {
-	known := s.endpointsByID[change.ID]
-	if change.Endpoint == nil {
-		if known == nil {
-			return false
-		}
-		s.removeEndpoint(change.ID)
-		return true
-	}
-	info := *change.Endpoint
-	if known != nil && known.info.StartedAt.Equal(info.StartedAt) && known.info.Service == info.Service && known.info.Address == info.Address {
-		changed := known.info != info
-		known.info = info
-		return changed
-	}
-	s.removeEndpoint(change.ID)
-	svc := s.getOrCreateService(info.Service)
-	e := &endpoint{info: info, service: svc, cache: acaciaprefix.NewCache(0)}
-	s.restoreBackoff(e)
-	s.endpointsByID[info.ID], s.endpointsByKey[KeyOf(info.ID)], s.serviceByEndpointID[info.ID] = e, e, svc
-	svc.endpoints[info.ID] = e
-	svc.endpointIDs = append(svc.endpointIDs, info.ID)
-	slices.Sort(svc.endpointIDs)
-	return true
-}
-
-// Endpoint returns the registration of an endpoint, nil if it isn't known.
-func (s *Scheduler) Endpoint(id string) *acaciasite.Endpoint {
-	known := s.endpointsByID[id]
-	if known == nil {
-		return nil
-	}
-	info := known.info
-	return &info
-}
-
-// EndpointsAt returns the registrations of the endpoints at an address.
-func (s *Scheduler) EndpointsAt(address string) []acaciasite.Endpoint {
-	var found []acaciasite.Endpoint
-	for _, e := range s.endpointsByID {
-		if e.info.Address == address {
-			found = append(found, e.info)
-		}
-	}
-	return found
-}
-
-// CountDraining returns the number of endpoints that are draining.
-func (s *Scheduler) CountDraining() int {
-	n := 0
-	for _, e := range s.endpointsByID {
-		if e.info.Draining {
-			n++
-		}
-	}
-	return n
-}
-
 // Enqueue adds a request to the queue of its service, on which DecideWaiting decides.
 func (s *Scheduler) Enqueue(request *Request) {
 	svc := s.getOrCreateService(request.Service)
@@ -294,20 +231,3 @@
 	}
 	return svc
 }
-
-// removeEndpoint removes an endpoint from its service. Requests that it still runs
-// continue.
-func (s *Scheduler) removeEndpoint(id string) {
-	e := s.endpointsByID[id]
-	if e == nil {
-		return
-	}
-	e.removed = true
-	s.keepBackoff(e)
-	svc := s.serviceByEndpointID[id]
-	delete(svc.endpoints, id)
-	delete(s.endpointsByID, id)
-	delete(s.endpointsByKey, KeyOf(id))
-	delete(s.serviceByEndpointID, id)
-	svc.endpointIDs = slices.DeleteFunc(svc.endpointIDs, func(other string) bool { return other == id })
-}
--- a/acaciasystem/gateway_header_soak_test.go
+++ b/acaciasystem/gateway_header_soak_test.go
@@ -55,16 +55,7 @@
 // storeFaults are what happens to the store and to the ways to it; gateways go on all the while, so
 // that nothing excuses them.
 var storeFaults = []gatewayFault{
-	func(f *fleet, r *rand.Rand, _ time.Duration) { pickRandom(f.gateways, r).storeProxy.closeConnections() },
-	func(f *fleet, r *rand.Rand, duration time.Duration) {
-		blockFor(pickRandom(f.gateways, r).storeProxy, direction(r.IntN(2)), duration)
-	},
-	func(f *fleet, _ *rand.Rand, duration time.Duration) {
-		f.store.SetDown(true)
-		time.Sleep(duration)
-		f.store.SetDown(false)
-	},
-	func(f *fleet, r *rand.Rand, _ time.Duration) { f.store.Compact(string(pickRandom(storeTopics, r))) },
+	closeStoreConnections, cutOffFromStore, stopStore, compactStore,
 	func(f *fleet, r *rand.Rand, _ time.Duration) { f.restoreStore(r, r.IntN(3), r.IntN(2)) },
 }
 
--- a/acaciasystem/gateway_restore_soak_test.go
+++ b/acaciasystem/gateway_restore_soak_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -26,15 +25,7 @@
 )
 
 // processFaults are injected beside restores of the store.
-var processFaults = []gatewayFault{
-	func(f *fleet, r *rand.Rand, _ time.Duration) { pickRandom(f.gateways, r).restart(syscall.SIGKILL) },
-	func(f *fleet, r *rand.Rand, _ time.Duration) { pickRandom(f.gateways, r).restart(syscall.SIGTERM) },
-	func(f *fleet, r *rand.Rand, duration time.Duration) { pickRandom(f.gateways, r).suspend(duration) },
-	func(f *fleet, r *rand.Rand, _ time.Duration) { pickRandom(f.gateways, r).storeProxy.closeConnections() },
-	func(f *fleet, r *rand.Rand, duration time.Duration) {
-		blockFor(pickRandom(f.gateways, r).storeProxy, direction(r.IntN(2)), duration)
-	},
-}
+var processFaults = []gatewayFault{killGateway, stopGateway, suspendGateway, closeStoreConnections, cutOffFromStore}
 
 // TestNewestConfigurationIsServedAfterRestoresOfStore takes the store back to copies, with changes of
 // the configuration before and after, while gateways are killed, restarted, suspended and cut off;
--- a/acaciasystem/gateway_soak_test.go
+++ b/acaciasystem/gateway_soak_test.go
@@ -44,21 +44,7 @@
 // gatewayFaults are drawn by index: a change of their order or number changes what a seed
 // does.
 var gatewayFaults = []gatewayFault{
-	func(f *fleet, r *rand.Rand, _ time.Duration) { pickRandom(f.gateways, r).restart(syscall.SIGKILL) },
-	func(f *fleet, r *rand.Rand, _ time.Duration) { pickRandom(f.gateways, r).restart(syscall.SIGTERM) },
-	func(f *fleet, r *rand.Rand, duration time.Duration) { pickRandom(f.gateways, r).suspend(duration) },
-	func(f *fleet, r *rand.Rand, _ time.Duration) { pickRandom(f.gateways, r).storeProxy.closeConnections() },
-	func(f *fleet, r *rand.Rand, duration time.Duration) {
-		blockFor(pickRandom(f.gateways, r).storeProxy, direction(r.IntN(2)), duration)
-	},
-	func(f *fleet, _ *rand.Rand, duration time.Duration) {
-		f.store.SetDown(true)
-		time.Sleep(duration)
-		f.store.SetDown(false)
-	},
-	func(f *fleet, r *rand.Rand, _ time.Duration) {
-		f.store.Compact(string(pickRandom(storeTopics, r)))
-	},
+	killGateway, stopGateway, suspendGateway, closeStoreConnections, cutOffFromStore, stopStore, compactStore,
 	func(f *fleet, _ *rand.Rand, _ time.Duration) { f.publishConfiguration() },
 	func(f *fleet, r *rand.Rand, _ time.Duration) { pickRandom(f.endpoints, r).proxy.closeConnections() },
 	func(f *fleet, r *rand.Rand, duration time.Duration) {
@@ -95,6 +81,37 @@
 	p.unblock()
 }
 
+func killGateway(f *fleet, r *rand.Rand, _ time.Duration) {
+	pickRandom(f.gateways, r).restart(syscall.SIGKILL)
+}
+
+func stopGateway(f *fleet, r *rand.Rand, _ time.Duration) {
+	pickRandom(f.gateways, r).restart(syscall.SIGTERM)
+}
+
+func suspendGateway(f *fleet, r *rand.Rand, duration time.Duration) {
+	pickRandom(f.gateways, r).suspend(duration)
+}
+
+func closeStoreConnections(f *fleet, r *rand.Rand, _ time.Duration) {
+	pickRandom(f.gateways, r).storeProxy.closeConnections()
+}
+
+// cutOffFromStore blocks one direction between a gateway and the store.
+func cutOffFromStore(f *fleet, r *rand.Rand, duration time.Duration) {
+	blockFor(pickRandom(f.gateways, r).storeProxy, direction(r.IntN(2)), duration)
+}
+
+func stopStore(f *fleet, _ *rand.Rand, duration time.Duration) {
+	f.store.SetDown(true)
+	time.Sleep(duration)
+	f.store.SetDown(false)
+}
+
+func compactStore(f *fleet, r *rand.Rand, _ time.Duration) {
+	f.store.Compact(string(pickRandom(storeTopics, r)))
+}
+
 // TestGatewaysUnderRandomFaults injects random faults into a fleet while callers send requests;
 // -soak.seed and -soak.seeds select the seeds.
 func TestGatewaysUnderRandomFaults(t *testing.T) {
