Tests of leaving endpoints: the caller that leaves is gone before the rest of the answer comes

The endpoint's handler returned right after the caller had cancelled, so that the whole answer could come first (seen once beside load: "err is nil"). It now waits for the gateway to end the call. A failed request of the table tells its error. The soak of endpoints' headers reads refusals to their end and pauses after them: it opened thousands of connections a second while all endpoints were leaving.

--- a/acaciagateway/leaving_test.go
+++ b/acaciagateway/leaving_test.go
@@ -73,7 +73,8 @@
 			before := atLeaving.Load()
 			waitFor(t, func() bool { return b.send(http.MethodPost, "/unsafe/", "r-1", "").status == http.StatusOK })
 			for i := range 10 {
-				assert.Equal(t, b.send(http.MethodPost, "/unsafe/", fmt.Sprintf("s-%d", i), "").status, http.StatusOK)
+				r := b.send(http.MethodPost, "/unsafe/", fmt.Sprintf("s-%d", i), "")
+				assert.Equal(t, r.status, http.StatusOK, "%s: error %v", r.body, r.err)
 			}
 			assert.Equal(t, atLeaving.Load(), before)
 		})
@@ -91,6 +92,8 @@
 		_ = http.NewResponseController(w).Flush()
 		waitFor(t, func() bool { return !b.gateway.usesTestEndpoint() })
 		leave()
+		// The rest of the answer comes when nobody waits for it any more.
+		<-r.Context().Done()
 	}), false)
 	waitFor(t, b.gateway.usesTestEndpoint)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/unsafe/", strings.NewReader(""))
--- a/acaciasystem/gateway_header_soak_test.go
+++ b/acaciasystem/gateway_header_soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -50,6 +51,8 @@
 	// turnAwayInterval is the number of requests of which an endpoint turns one away.
 	turnAwayInterval = 10
 	headerSentAt     = "X-Sent-At"
+	// refusalPause is how long a caller waits after a refusal.
+	refusalPause = 20 * time.Millisecond
 )
 
 // storeFaults are what happens to the store and to the ways to it; gateways go on all the while, so
@@ -137,15 +140,20 @@
 	clear(e.leavingSince)
 }
 
-// sendTimed sends a request that names its gateway and the time.
+// sendTimed sends a request that names its gateway and the time, and pauses if it is refused.
 func (f *fleet) sendTimed(g *gatewayNode, id string) {
 	request, err := http.NewRequest(http.MethodPost, g.url("/unsafe/x"), strings.NewReader(""))
 	assert.Check(f.t, err)
 	acaciaplatformstandin.SetCallerHeaders(request, id)
 	request.Header.Set(headerSentAt, strconv.FormatInt(time.Now().UnixNano(), 10))
 	client := http.Client{Timeout: gatewayCallTimeout}
-	if response, err := client.Do(request); err == nil {
-		_ = response.Body.Close()
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err == nil && response.StatusCode != http.StatusOK {
+		time.Sleep(refusalPause)
 	}
 }
 
