--- a/acaciagateway/peers.go
+++ b/acaciagateway/peers.go
@@ -61,15 +61,15 @@
 // apply applies registrations, and writes the gateway's own if the store does not hold it.
 func (p *peerFollower) apply(ctx context.Context, changes []acaciaplatform.Change) {
 	for _, change := range changes {
-		p.applyRegistration(change)
+		p.addPeer(change)
 	}
 	if !p.registered {
 		p.register(ctx)
 	}
 }
 
-// applyRegistration adds the address of a registered gateway to the possible peers.
-func (p *peerFollower) applyRegistration(change acaciaplatform.Change) {
+// addPeer adds the address of a registered gateway to the possible peers.
+func (p *peerFollower) addPeer(change acaciaplatform.Change) {
 	g := p.gateway
 	peer, err := change.Peer()
 	if err != nil {
--- a/acaciagateway/registration.go
+++ b/acaciagateway/registration.go
@@ -139,22 +139,22 @@
 	g.applyEndpoint(change)
 }
 
-// recordLeaving records that the endpoint that answered the exchange's request has said that it is
-// leaving. An endpoint that was not meant may be another one at that address. It must be called on
-// the loop.
+// recordLeaving records that an answer from an endpoint's address said that its endpoint is leaving.
+// A misdirected request was answered by another endpoint, so those listed at the address count, too.
+// It must be called on the loop.
 func (g *Gateway) recordLeaving(endpoint acaciasite.Endpoint, misdirected bool, event acaciaevent.Event) {
-	leaving := []acaciasite.Endpoint{endpoint}
+	answering := []acaciasite.Endpoint{endpoint}
 	if misdirected {
-		leaving = append(leaving, g.scheduler.EndpointsAt(endpoint.Address)...)
+		answering = append(answering, g.scheduler.EndpointsAt(endpoint.Address)...)
 	}
-	for _, endpoint := range leaving {
-		if !g.endpoints.registrations.markLeaving(endpoint) {
+	for _, candidate := range answering {
+		if !g.endpoints.registrations.markLeaving(candidate) {
 			continue
 		}
-		event.Endpoint = endpoint.ID
+		event.Endpoint = candidate.ID
 		g.recorder.Record(event)
-		if known := g.scheduler.Endpoint(endpoint.ID); known != nil {
-			g.applyListed(acaciasite.EndpointChange{ID: endpoint.ID, Endpoint: known})
+		if known := g.scheduler.Endpoint(candidate.ID); known != nil {
+			g.applyListed(acaciasite.EndpointChange{ID: candidate.ID, Endpoint: known})
 		}
 	}
 	g.runScheduler()
