--- a/acaciagateway/follow_test.go
+++ b/acaciagateway/follow_test.go
@@ -26,8 +26,8 @@
 // inMemoryTransport calls a store without a network, as virtual time requires.
 type inMemoryTransport struct {
 	store *acaciaplatformstandin.Store
-	// afterSnapshotPage, if set, runs after each page of the newest records.
-	afterSnapshotPage func()
+	// afterSnapshotPage, if set, runs after each page of the newest records of a topic.
+	afterSnapshotPage func(topic string)
 	// hangs, if set, reports whether a request gets no response.
 	hangs func(request *http.Request) bool
 }
@@ -44,7 +44,7 @@
 	recorder := httptest.NewRecorder()
 	m.store.ServeHTTP(recorder, request)
 	if m.afterSnapshotPage != nil && strings.HasSuffix(request.URL.Path, "log-newest") {
-		m.afterSnapshotPage()
+		m.afterSnapshotPage(request.URL.Query().Get("topic"))
 	}
 	return recorder.Result(), nil
 }
@@ -56,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := acaciaplatformstandin.NewStore()
 		assert.NilError(t, store.PutEndpoint(testEndpoint, unusedAddress, 1, false, 1))
-		markLeaving := func() { assert.Check(t, store.PutEndpoint(testEndpoint, unusedAddress, 1, true, 1)) }
+		markLeaving := func(string) { assert.Check(t, store.PutEndpoint(testEndpoint, unusedAddress, 1, true, 1)) }
 		client := acaciaplatform.New(acaciaplatform.Settings{Store: "http://store"}, inMemoryTransport{store: store, afterSnapshotPage: markLeaving})
 		recorder := acaciaevent.NewRecorder("g-1", acaciaevent.NewClock(time.Now), logr.Discard(), 10)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -145,6 +145,31 @@
 	})
 }
 
+// The store is restored between two pages of a snapshot. The pages must not be put together.
+func TestSnapshotBeginsAgainWhenStoreIsRestoredBetweenPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := acaciaplatformstandin.NewStore()
+		before := store.Backup()
+		for i := range 5 {
+			registerEndpoint(t, store, fmt.Sprint("old-", i), unusedAddress, false)
+		}
+		pages := 0
+		gateway := newFollowingGateway(t, inMemoryTransport{store: store, afterSnapshotPage: func(topic string) {
+			if topic != "keyed.servers" {
+				return
+			}
+			pages++
+			if pages == 1 {
+				store.Restore(before)
+				registerEndpoint(t, store, "young", unusedAddress, false)
+			}
+		}})
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, gateway.endpointIDs(), []string{"young"})
+		gateway.loop.Do(func() { assert.Check(t, gateway.scheduler.Endpoint("old-0") == nil) })
+	})
+}
+
 // storeFaults are what happens to the store between two versions; newest is the newest version.
 var storeFaults = map[string]func(store *acaciaplatformstandin.Store, backup *acaciaplatformstandin.Backup, newest int){
 	"none":    func(*acaciaplatformstandin.Store, *acaciaplatformstandin.Backup, int) {},
