Tests of gateways: a client with a transport of its own

The end of an httptest.Server closes the idle connections of the default transport, which the tests shared; since the table runs in parallel, other cases' servers end meanwhile.

--- a/acaciagateway/testbed_test.go
+++ b/acaciagateway/testbed_test.go
@@ -50,6 +50,10 @@
 	}
 )
 
+// callerClient has a transport of its own: the end of any httptest.Server closes idle connections of
+// the default one, and now and then a request of a test that runs in parallel fails by that.
+var callerClient = &http.Client{Transport: &http.Transport{}}
+
 // newTestbed starts a gateway with one endpoint for each handler.
 func newTestbed(t *testing.T, endpoints ...http.HandlerFunc) *testbed {
 	t.Helper()
@@ -151,7 +155,7 @@
 }
 
 func doRequest(request *http.Request) testResponse {
-	response, err := http.DefaultClient.Do(request)
+	response, err := callerClient.Do(request)
 	if err != nil {
 		return testResponse{err: err}
 	}
--- a/acaciasystem/gateway_cluster_test.go
+++ b/acaciasystem/gateway_cluster_test.go
@@ -82,6 +82,10 @@
 
 var fleetCount atomic.Int64
 
+// callerClient has a transport of its own: the end of any httptest.Server closes idle connections of
+// the default one, and now and then a request of a test that runs in parallel fails by that.
+var callerClient = &http.Client{Transport: &http.Transport{}}
+
 // newFleet starts gateways and endpoints and waits until all gateways are ready.
 func newFleet(t *testing.T, gateways, endpoints int) *fleet {
 	t.Helper()
--- a/acaciasystem/gateway_crash_soak_test.go
+++ b/acaciasystem/gateway_crash_soak_test.go
@@ -81,7 +81,7 @@
 	assert.Check(f.t, err)
 	acaciaplatformstandin.SetCallerHeaders(request, id)
 	request.Header.Set(acaciaplatformstandin.HeaderPrompt, prompt)
-	response, err := http.DefaultClient.Do(request)
+	response, err := callerClient.Do(request)
 	if err != nil {
 		return 0
 	}
--- a/acaciasystem/gateway_header_soak_test.go
+++ b/acaciasystem/gateway_header_soak_test.go
@@ -1,6 +1,7 @@
 package acaciasystem
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -142,12 +143,13 @@
 
 // sendTimed sends a request that names its gateway and the time, and pauses if it is refused.
 func (f *fleet) sendTimed(g *gatewayNode, id string) {
-	request, err := http.NewRequest(http.MethodPost, g.url("/unsafe/x"), strings.NewReader(""))
+	ctx, cancel := context.WithTimeout(context.Background(), gatewayCallTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.url("/unsafe/x"), strings.NewReader(""))
 	assert.Check(f.t, err)
 	acaciaplatformstandin.SetCallerHeaders(request, id)
 	request.Header.Set(headerSentAt, strconv.FormatInt(time.Now().UnixNano(), 10))
-	client := http.Client{Timeout: gatewayCallTimeout}
-	response, err := client.Do(request)
+	response, err := callerClient.Do(request)
 	if err != nil {
 		return
 	}
--- a/acaciasystem/gateway_restore_soak_test.go
+++ b/acaciasystem/gateway_restore_soak_test.go
@@ -119,7 +119,7 @@
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, g.url(path), nil)
 		assert.NilError(f.t, err)
 		acaciaplatformstandin.SetCallerHeaders(request, fmt.Sprintf("probe-%s-%d", id, i))
-		response, err := http.DefaultClient.Do(request)
+		response, err := callerClient.Do(request)
 		if assert.Check(f.t, err) {
 			assert.Check(f.t, response.StatusCode == http.StatusOK, "%s answers %s with %d", g.name, path, response.StatusCode)
 			_ = response.Body.Close()
--- a/acaciasystem/gateway_soak_test.go
+++ b/acaciasystem/gateway_soak_test.go
@@ -179,7 +179,7 @@
 		return outcome{kind: kind, id: id, err: err}
 	}
 	acaciaplatformstandin.SetCallerHeaders(request, id)
-	response, err := http.DefaultClient.Do(request)
+	response, err := callerClient.Do(request)
 	if err != nil {
 		return outcome{kind: kind, id: id, err: err}
 	}
