--- a/acaciagateway/follow_test.go
+++ b/acaciagateway/follow_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -43,7 +42,7 @@
 	}
 	recorder := httptest.NewRecorder()
 	m.store.ServeHTTP(recorder, request)
-	if m.afterSnapshotPage != nil && strings.HasSuffix(request.URL.Path, "log-newest") {
+	if m.afterSnapshotPage != nil && acaciaplatformstandin.ReadsSnapshot(request) {
 		m.afterSnapshotPage(request.URL.Query().Get("topic"))
 	}
 	return recorder.Result(), nil
@@ -133,7 +132,7 @@
 		publishVersion(store, 1)
 		var dead atomic.Bool
 		gateway := newFollowingGateway(t, inMemoryTransport{store: store, hangs: func(request *http.Request) bool {
-			return dead.Load() && request.URL.Query().Get("waitMs") != ""
+			return dead.Load() && acaciaplatformstandin.WaitsForChange(request)
 		}})
 		time.Sleep(configurationBound)
 		dead.Store(true)
@@ -155,7 +154,7 @@
 		}
 		pages := 0
 		gateway := newFollowingGateway(t, inMemoryTransport{store: store, afterSnapshotPage: func(topic string) {
-			if topic != "keyed.servers" {
+			if topic != string(acaciaplatform.TopicEndpoints) {
 				return
 			}
 			pages++
@@ -172,11 +171,13 @@
 
 // storeFaults are what happens to the store between two versions; newest is the newest version.
 var storeFaults = map[string]func(store *acaciaplatformstandin.Store, backup *acaciaplatformstandin.Backup, newest int){
-	"none":    func(*acaciaplatformstandin.Store, *acaciaplatformstandin.Backup, int) {},
-	"copy":    func(s *acaciaplatformstandin.Store, b *acaciaplatformstandin.Backup, _ int) { *b = s.Backup() },
-	"down":    func(s *acaciaplatformstandin.Store, _ *acaciaplatformstandin.Backup, _ int) { s.SetDown(true) },
-	"up":      func(s *acaciaplatformstandin.Store, _ *acaciaplatformstandin.Backup, _ int) { s.SetDown(false) },
-	"compact": func(s *acaciaplatformstandin.Store, _ *acaciaplatformstandin.Backup, _ int) { s.Compact("keyed.op") },
+	"none": func(*acaciaplatformstandin.Store, *acaciaplatformstandin.Backup, int) {},
+	"copy": func(s *acaciaplatformstandin.Store, b *acaciaplatformstandin.Backup, _ int) { *b = s.Backup() },
+	"down": func(s *acaciaplatformstandin.Store, _ *acaciaplatformstandin.Backup, _ int) { s.SetDown(true) },
+	"up":   func(s *acaciaplatformstandin.Store, _ *acaciaplatformstandin.Backup, _ int) { s.SetDown(false) },
+	"compact": func(s *acaciaplatformstandin.Store, _ *acaciaplatformstandin.Backup, _ int) {
+		s.Compact(string(acaciaplatform.TopicConfiguration))
+	},
 	"restore": func(s *acaciaplatformstandin.Store, b *acaciaplatformstandin.Backup, newest int) {
 		s.Restore(*b)
 		publishVersion(s, newest)
--- a/acaciagateway/list_test.go
+++ b/acaciagateway/list_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
 
@@ -95,7 +96,7 @@
 		store := acaciaplatformstandin.NewStore()
 		writeOdd := func() {
 			for key, value := range odd {
-				store.Put("keyed.servers", key, []byte(value))
+				store.Put(string(acaciaplatform.TopicEndpoints), key, []byte(value))
 			}
 		}
 		writeOdd()
--- a/acaciagateway/registration_test.go
+++ b/acaciagateway/registration_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/acaciaroute/acaciaroute/acaciasite"
+	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
 
@@ -144,8 +145,8 @@
 			s.Restore(acaciaplatformstandin.NewStore().Backup())
 		},
 		"deleted, and the history trimmed": func(s *acaciaplatformstandin.Store) {
-			s.Put("keyed.status", "g-1", nil)
-			s.Compact("keyed.status")
+			s.Put(string(acaciaplatform.TopicPeers), "g-1", nil)
+			s.Compact(string(acaciaplatform.TopicPeers))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -155,7 +156,7 @@
 				time.Sleep(time.Second)
 				lose(store)
 				time.Sleep(2 * peersPollInterval)
-				assert.Check(t, store.Has("keyed.status", "g-1"))
+				assert.Check(t, store.Has(string(acaciaplatform.TopicPeers), "g-1"))
 			})
 		})
 	}
@@ -170,6 +171,6 @@
 		time.Sleep(time.Minute)
 		store.SetDown(false)
 		time.Sleep(2 * peersPollInterval)
-		assert.Check(t, store.Has("keyed.status", "g-1"))
+		assert.Check(t, store.Has(string(acaciaplatform.TopicPeers), "g-1"))
 	})
 }
