An event that turns out to be broken doesn't count as received

Change: the ID counts once all lines of the event are checked. Found on reading the change anew. Before: the new case of TestErrorsOfResumingEndpointsNeverReachTheStream fails when the stream recovers. After: passes.

--- a/acaciagateway/event.go
+++ b/acaciagateway/event.go
@@ -40,7 +40,8 @@
 
 // checkEvent checks the lines of an event and its ID, and counts it. Comments alone are no event.
 func (x *exchange) checkEvent(event []byte) error {
-	fields, ids := 0, 0
+	fields := 0
+	var ids []string
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
 		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
 		if len(name) == 0 {
@@ -51,18 +52,21 @@
 		}
 		fields++
 		if string(name) == fieldID {
-			ids++
-			if err := x.checkEventID(string(bytes.TrimSpace(value))); err != nil {
-				return err
-			}
+			ids = append(ids, string(bytes.TrimSpace(value)))
 		}
 	}
 	if fields == 0 {
 		return nil
 	}
-	if ids == 0 && x.lastEventID != "" {
+	if len(ids) == 0 && x.lastEventID != "" {
 		return errEventWithoutID
 	}
+	// The stream is resumed after the last ID, so only a whole event's may count.
+	for _, id := range ids {
+		if err := x.checkEventID(id); err != nil {
+			return err
+		}
+	}
 	x.fieldEvents++
 	return nil
 }
--- a/acaciagateway/stream_test.go
+++ b/acaciagateway/stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -123,6 +124,7 @@
 			w.Header().Set(acaciaplatformstandin.HeaderRequestID, r.Header.Get(acaciaplatformstandin.HeaderRequestID))
 			acaciaplatformstandin.RespondNotRun(w, http.StatusServiceUnavailable)
 		},
+		"another head within an event":    raw(signedHead + "\r\nid: 3\nHTTP/1.1 500 Internal Server Error\n\nno\n\n"),
 		"no response":                     raw("HTTP/1.1 5"),
 		"another head, unframed":          raw(signedHead + "\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"),
 		"another head with bare newlines": raw(signedHead + "\r\nHTTP/1.1 500 Internal Server Error\nContent-Length: 2\n\nno\n\n"),
@@ -139,7 +141,9 @@
 						panic(http.ErrAbortHandler)
 					case n > 2 && recovers:
 						acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
-						writeEvents(w, 3, 4)
+						last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+						assert.Check(t, err)
+						writeEvents(w, last+1, 4)
 					default:
 						fail(w, r)
 					}
