--- a/acaciagateway/registration.go
+++ b/acaciagateway/registration.go
@@ -33,8 +33,8 @@
 	// expiryHeartbeats is the number of heartbeat intervals after which the store has dropped the
 	// registration of an endpoint that no longer writes: three, and one for the way to the gateway.
 	expiryHeartbeats = 4
-	// removedRetention is how long a removed registration is remembered. No copy from which the
-	// store is restored is older.
+	// removedRetention is how long a removed registration is remembered, much longer than the age of
+	// the copies from which a store is restored.
 	removedRetention = 5 * time.Minute
 )
 
