--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -48,11 +48,22 @@
 		b.close()
 		os.Exit(exitNotRun)
 	}()
-	code := cases[os.Args[1]](b)
+	code := b.play(cases[os.Args[1]])
 	b.close()
 	os.Exit(code)
 }
 
+// play plays a case. A stand-in that can't go on panics; the case then couldn't run.
+func (b *bed) play(playCase func(b *bed) int) (code int) {
+	defer func() {
+		if problem := recover(); problem != nil {
+			b.say("the case could not run: %v", problem)
+			code = exitNotRun
+		}
+	}()
+	return playCase(b)
+}
+
 // lost returns the requests whose kept connection ended without any answer though a sound replica had
 // begun to work on them, by gateway, and the number of those whose answer ended early.
 func (b *bed) lost() (unanswered map[string][]result, cut int) {
