An answer without framing is whole only if its endpoint answers after its end

Cause: the end of such an answer counted as whole unless the endpoint's address refused one connection. A killed process ends its connections one after another and its listener with them; the operating system accepts connections meanwhile. Timeouts of that check counted as alive, too.

Ruled out: lost framing (TestCutResponseIsNeverWhole).

Change: the answer is whole only if the same process answers a request that is sent after the end. All else is a cut: resumed, run again, or told as cut. acaciaroute_gateway_unframed_answers_total and answer_end_unproven tell what the address did.

--- a/acaciaevent/kind.go
+++ b/acaciaevent/kind.go
@@ -39,6 +39,8 @@
 	EndpointRecovered    Kind = 223
 	RequestRepeated      Kind = 224
 	ReservationHopeless  Kind = 225
+	// AnswerEndUnproven marks that an answer ended with its connection and may not be whole.
+	AnswerEndUnproven Kind = 226
 
 	KeyClaimed   Kind = 301
 	KeyAttached  Kind = 302
@@ -131,6 +133,7 @@
 	EndpointRecovered:    "endpoint_recovered",
 	RequestRepeated:      "request_repeated",
 	ReservationHopeless:  "reservation_hopeless",
+	AnswerEndUnproven:    "answer_end_unproven",
 
 	KeyClaimed:   "key_claimed",
 	KeyAttached:  "key_attached",
@@ -186,6 +189,7 @@
 	OutcomeUnknown:       true,
 	EngineFailed:         true,
 	EndpointDied:         true,
+	AnswerEndUnproven:    true,
 	KeyUndecided:         true,
 	ConfigurationRefused: true,
 	LogDown:              true,
--- a/acaciagateway/metrics.go
+++ b/acaciagateway/metrics.go
@@ -27,6 +27,7 @@
 	endpointCrashes      *prometheus.CounterVec
 	resumedStreams       *prometheus.CounterVec
 	doubtedEndpoints     prometheus.Gauge
+	unframedAnswers      *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics in a registry of their own, in which others are registered too.
@@ -58,9 +59,12 @@
 		resumedStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "acaciaroute_gateway_resumed_streams_total", Help: "Streams that callers resume, by how the software version that began them was found.",
 		}, []string{"origin"}),
+		unframedAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciaroute_gateway_unframed_answers_total", Help: "Answers that ended with their connection, by what showed whether they were whole.",
+		}, []string{"proof"}),
 		doubtedEndpoints: newGauge("acaciaroute_gateway_doubted_endpoints", "Endpoints that refused connections and have not registered since."),
 	}
-	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.storeEra, m.bannedTraits, m.limitedEndpoints, m.leavingEndpoints, m.backoffEndpoints, m.endpointCrashes, m.resumedStreams, m.doubtedEndpoints)
+	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.storeEra, m.bannedTraits, m.limitedEndpoints, m.leavingEndpoints, m.backoffEndpoints, m.endpointCrashes, m.resumedStreams, m.doubtedEndpoints, m.unframedAnswers)
 	m.registry.MustRegister(others...)
 	return m
 }
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -34,8 +34,8 @@
 	if err == nil && len(body) > maxResponseBytes {
 		err = errResponseTooLong
 	}
-	if err == nil && x.endedByCrash(ctx, response) {
-		err = io.ErrUnexpectedEOF
+	if err == nil {
+		err = x.proveEnd(ctx, response)
 	}
 	if err != nil {
 		return x.classifyReadError(ctx, response, wd, err)
@@ -83,25 +83,35 @@
 			}
 		}
 		pending = append(pending[:0], rest...)
-		switch {
-		case eventErr != nil:
+		if eventErr != nil {
 			err = eventErr
-		case errors.Is(err, io.EOF) && len(pending) == 0 && !x.endedByCrash(ctx, response):
-			x.sendStreamHeader(response, schedRequest)
-			x.recordWholeStream()
-			x.recordDelivered(response.Status)
-			x.reportStream(schedRequest)
-			return outcomeDelivered, 0, nil
-		case errors.Is(err, io.EOF):
-			err = io.ErrUnexpectedEOF
 		}
 		if err == nil {
 			continue
 		}
-		return x.classifyReadError(ctx, response, wd, err)
+		if err = x.checkStreamEnd(ctx, response, err, pending); err != nil {
+			return x.classifyReadError(ctx, response, wd, err)
+		}
+		x.sendStreamHeader(response, schedRequest)
+		x.recordWholeStream()
+		x.recordDelivered(response.Status)
+		x.reportStream(schedRequest)
+		return outcomeDelivered, 0, nil
 	}
 }
 
+// checkStreamEnd returns an error unless the stream has ended as whole; err is what ended it, and rest what
+// has come after the last whole event.
+func (x *exchange) checkStreamEnd(ctx context.Context, response *acaciaupstream.Response, err error, rest []byte) error {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case len(rest) > 0:
+		return io.ErrUnexpectedEOF
+	}
+	return x.proveEnd(ctx, response)
+}
+
 // classifyReadError returns the outcome of a call whose response could not be read to its end.
 func (x *exchange) classifyReadError(ctx context.Context, response *acaciaupstream.Response, wd *watchdog, err error) (callOutcome, acaciaschedule.Failure, error) {
 	if x.r.Context().Err() != nil {
@@ -115,17 +125,6 @@
 	return outcomeFailed, acaciaschedule.FailureInvalidResponse, err
 }
 
-// endedByCrash reports whether a response may have ended early because its endpoint crashed:
-// nothing but the endpoint's being alive shows that a response without framing is whole.
-func (x *exchange) endedByCrash(ctx context.Context, response *acaciaupstream.Response) bool {
-	if !response.Unframed() {
-		return false
-	}
-	checkCtx, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
-	defer cancel()
-	return x.gateway.upstream.Refuses(checkCtx, x.endpoint.Address)
-}
-
 // sendStreamHeader sends the response header of a stream before its first event, or at the end
 // of a stream without events.
 func (x *exchange) sendStreamHeader(response *acaciaupstream.Response, schedRequest *acaciaschedule.Request) {
--- a/acaciaupstream/call.go
+++ b/acaciaupstream/call.go
@@ -128,7 +128,7 @@
 // Unframed reports whether the body has neither a length nor chunks, so that it ends where its
 // connection ends, whatever the reason.
 func (r *Response) Unframed() bool {
-	return r.Length < 0 && len(r.response.TransferEncoding) == 0
+	return r.Length < 0 && len(r.response.TransferEncoding) == 0 && r.response.Body != http.NoBody
 }
 
 // Close ends the call. If the request and the response were transferred completely and the
