Numbers of tokens are bounded where they come in

Cause: slots x largest request overflows to a negative capacity of the predicted cache, which then evicts from an empty list (nil dereference on the event loop; stack in the incident).

Ruled out: memory (8 MB at its peak), parsing of the header.

--- a/acaciapeer/members_test.go
+++ b/acaciapeer/members_test.go
@@ -1,6 +1,7 @@
 package acaciapeer
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -125,3 +126,17 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, decoded, message)
 }
+
+// Counts that don't fit into a message are told as the largest that does, not as a small one.
+func TestLargeCountsAreNotTruncated(t *testing.T) {
+	message := Message{Report: acaciaschedule.Report{
+		Loads:   map[acaciaschedule.EndpointKey]acaciaschedule.EndpointLoad{1: {Prefill: 1 << 33}},
+		Prompts: []acaciaschedule.SentPrompt{{Prompt: []acaciaprefix.Segment{{Prefix: 1, Tokens: 1 << 34}}}},
+	}}
+	data, err := message.Encode(time.Now())
+	assert.NilError(t, err)
+	decoded, err := Decode(data, time.Now())
+	assert.NilError(t, err)
+	assert.Equal(t, decoded.Loads[1].Prefill, math.MaxUint32)
+	assert.Equal(t, decoded.Prompts[0].Prompt[0].Tokens, math.MaxUint32)
+}
--- a/acaciapeer/message.go
+++ b/acaciapeer/message.go
@@ -52,14 +52,14 @@
 	for _, record := range m.Crashes {
 		wire.CrashRecords = append(wire.CrashRecords, &acaciawire.CrashRecord{
 			Crash: record.Crash, Trait: uint64(record.Trait), Depth: uint32(record.Depth),
-			Attempt: uint32(record.Attempt), ObservedMsAgo: encodeAge(record.ObservedAt, now), Cleared: record.Cleared,
+			Attempt: encodeCount(record.Attempt), ObservedMsAgo: encodeAge(record.ObservedAt, now), Cleared: record.Cleared,
 		})
 	}
 	for key, load := range m.Loads {
 		wire.LoadEndpoints = append(wire.LoadEndpoints, uint32(key))
-		wire.LoadRunning = append(wire.LoadRunning, uint32(load.Running))
-		wire.LoadPrefill = append(wire.LoadPrefill, uint32(load.Prefill))
-		wire.LoadAwaiting = append(wire.LoadAwaiting, uint32(load.Awaiting))
+		wire.LoadRunning = append(wire.LoadRunning, encodeCount(load.Running))
+		wire.LoadPrefill = append(wire.LoadPrefill, encodeCount(load.Prefill))
+		wire.LoadAwaiting = append(wire.LoadAwaiting, encodeCount(load.Awaiting))
 	}
 	for key, limit := range m.Limits {
 		wire.Limits = append(wire.Limits, &acaciawire.EndpointLimit{
@@ -132,7 +132,7 @@
 	queue := &acaciawire.ServiceQueue{Service: service}
 	for rank, count := range ranks {
 		queue.Ranks = append(queue.Ranks, int32(rank))
-		queue.Counts = append(queue.Counts, uint32(count))
+		queue.Counts = append(queue.Counts, encodeCount(count))
 	}
 	for _, position := range heads {
 		queue.Heads = append(queue.Heads, int64(position))
@@ -156,7 +156,7 @@
 	prompt := &acaciawire.SentPrompt{Endpoint: uint32(sent.Endpoint)}
 	for _, segment := range sent.Prompt {
 		prompt.Prefixes = append(prompt.Prefixes, segment.Prefix)
-		prompt.Tokens = append(prompt.Tokens, uint32(segment.Tokens))
+		prompt.Tokens = append(prompt.Tokens, encodeCount(segment.Tokens))
 	}
 	return prompt
 }
@@ -176,6 +176,11 @@
 	}
 }
 
+// encodeCount returns a count as it is sent; a larger one than fits counts as the largest.
+func encodeCount(count int) uint32 {
+	return uint32(min(max(count, 0), math.MaxUint32))
+}
+
 // encodeAge returns how long ago a time was, in milliseconds.
 func encodeAge(at, now time.Time) uint32 {
 	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
--- a/acaciaprefix/cache.go
+++ b/acaciaprefix/cache.go
@@ -35,7 +35,7 @@
 	c.onEvict = f
 }
 
-// SetCapacity sets the capacity in tokens; the next Add evicts what exceeds it.
+// SetCapacity sets the capacity in tokens; the next Add evicts what exceeds it, all if it is negative.
 func (c *Cache) SetCapacity(tokens int) {
 	c.capacity = tokens
 }
@@ -56,7 +56,7 @@
 	for _, segment := range slices.Backward(prompt) {
 		c.markUsed(segment.Prefix, segment.Tokens)
 	}
-	for c.usedTokens > c.capacity {
+	for c.usedTokens > c.capacity && c.recency.Len() > 0 {
 		c.evict(c.recency.Back())
 	}
 }
--- a/acaciaschedule/prompt.go
+++ b/acaciaschedule/prompt.go
@@ -10,8 +10,13 @@
 // engine prefills only the part of a prompt that it does not have in its prefix cache, so the
 // processes tell each other which prompts they have sent where.
 
-// maxCachedSegments bounds the memory used for one endpoint, whatever sizes callers state.
-const maxCachedSegments = 512
+const (
+	// maxCachedSegments bounds the memory used for one endpoint, whatever sizes callers state.
+	maxCachedSegments = 512
+	// maxRequestTokens bounds the size that a request counts as, so that its product with the slots of
+	// an endpoint fits into an int.
+	maxRequestTokens = 1 << 32
+)
 
 // cachedTokens returns how many tokens of the request's prompt the endpoint is expected to
 // have in its prefix cache.
@@ -72,7 +77,7 @@
 // observeRequestSize keeps the size of the largest request of the service. An engine has
 // memory for as many such requests as it has slots, and for no more as far as is known.
 func (svc *service) observeRequestSize(tokens int) {
-	svc.largestRequest = max(svc.largestRequest, tokens)
+	svc.largestRequest = max(svc.largestRequest, min(tokens, maxRequestTokens))
 }
 
 // startPrefill counts the tokens that the endpoint has to prefill for the request.
--- a/acaciaschedule/prompt_test.go
+++ b/acaciaschedule/prompt_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/acaciaroute/acaciaroute/acaciaprefix"
 	"github.com/acaciaroute/acaciaroute/acaciasite"
@@ -177,3 +179,38 @@
 		assert.Equal(t, decidePlacements(s, atMillis(2001))["second"], want, "home in %s", home)
 	}
 }
+
+// Requests of any size, placed at endpoints with any number of slots here or by other processes, leave the
+// scheduler able to place the next ones.
+func TestRequestsOfAnySizeArePlaced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newScheduler()
+		sizes := rapid.OneOf(rapid.IntRange(0, 100_000), rapid.IntRange(math.MaxInt32-1, math.MaxInt32))
+		slots := rapid.OneOf(rapid.IntRange(1, 8), rapid.Just(1<<16))
+		for i := range 3 {
+			addEndpoint(s, fmt.Sprint("e", i), "a", slots.Draw(t, "slots"))
+		}
+		for i := range rapid.IntRange(1, 20).Draw(t, "requests") {
+			now := atMillis(i * 100)
+			tokens := rapid.SliceOfN(sizes, 1, 5).Draw(t, "tokens")
+			ids := rapid.SliceOfN(rapid.Uint64Range(1, 5), len(tokens), len(tokens)).Draw(t, "ids")
+			r := newRequest(fmt.Sprint(i), 0, now)
+			r.PromptTokens, r.OutputTokens = sizes.Draw(t, "prompt"), sizes.Draw(t, "output")
+			r.Prompt = acaciaprefix.ChainSegments("model", ids, tokens)
+			s.ApplyReport("peer", "near", &Report{Prompts: []SentPrompt{{Endpoint: KeyOf("e0"), Prompt: r.Prompt}}}, now)
+			s.Enqueue(r)
+			placed := decidePlacements(s, now)
+			if placed[r.ID] == "" {
+				s.Dequeue(r)
+				continue
+			}
+			cached := r.endpoint.cachedTokens(r)
+			assert.Assert(t, cached >= 0 && cached <= r.PromptTokens, "%d tokens are cached", cached)
+			s.Release(r, now.Add(50*time.Millisecond))
+		}
+		assert.Assert(t, s.services["m"].largestRequest >= 0)
+		last := newRequest("last", 0, atMillis(10_000))
+		s.Enqueue(last)
+		assert.Equal(t, len(decidePlacements(s, atMillis(10_000))), 1)
+	})
+}
