A request larger than its organisation's quota of a window is refused

Such a request was accepted once the bucket was full: it exceeds QUOTA by itself, and its debt refuses the organisation's other requests for hours.

Cause: a request larger than the bucket is accepted when that is full, with no upper end.

Change: what costs more than a whole window allows gets 429 and changes neither the level nor the mean cost.

Test: TestRequestBeyondWindowQuotaIsRefused fails before. The older TestRequestLargerThanBucketIsAcceptedWhenFull asked for 1,000 units where a window allows 90 (299 with all tolerance), which the rule forbids; it asks for 90 now, and bounds the wait from the debt that remains.

--- a/acaciabudget/quota.go
+++ b/acaciabudget/quota.go
@@ -132,6 +132,9 @@
 	if a == nil || a.rate <= 0 {
 		return true, 0
 	}
+	if charge.Cost > a.windowQuota(q.settings.Window) {
+		return false, q.settings.Window
+	}
 	q.refill(a, now)
 	a.meanCost += (charge.Cost - a.meanCost) / meanCostRequests
 	available := a.level
@@ -146,6 +149,12 @@
 	return true, 0
 }
 
+// windowQuota returns the most that the organisation may use in a window, the tolerance aside. A larger
+// request is never accepted: it would block the organisation's other requests until all of it had accrued.
+func (a *account) windowQuota(window time.Duration) float64 {
+	return a.rate*window.Seconds() + a.burst
+}
+
 // requiredLevel returns how much the bucket must hold for a charge to be accepted. It is at
 // most the bucket's size, so that a larger request is accepted when the bucket is full.
 func (q *Quota) requiredLevel(a *account, charge Charge) float64 {
