--- a/acaciagateway/end_test.go
+++ b/acaciagateway/end_test.go
@@ -42,7 +42,7 @@
 	},
 }
 
-func startUnframedEndpoint(t *testing.T, b *testbed, part string, end func(*net.TCPConn), afterEnd func(net.Conn)) *unframedEndpoint {
+func startUnframedEndpoint(t *testing.T, b *testbed, part string, end func(*net.TCPConn), afterEnd func(net.Conn)) {
 	t.Helper()
 	listener, err := net.Listen("tcp", anyPort)
 	assert.NilError(t, err)
@@ -59,7 +59,6 @@
 	}()
 	registerEndpoint(t, b.store, testEndpoint, listener.Addr().String(), false)
 	waitFor(t, func() bool { return len(b.gateway.endpointIDs()) == 1 })
-	return e
 }
 
 func (e *unframedEndpoint) serve(conn net.Conn) {
