What crashes endpoints is decided by evidence, not by the depth of a segment

Cause: a deadly segment and one that all prompts of its caller share explain the first crashes equally well. The deeper one was banned, which kept all requests from running that could have cleared it.

Ruled out: missed or doubled crashes (three crashes, three records each), late proofs alone (with the segments' order turned round the right one is banned).

Change: segments that were answered before the crashes are suspected last, also by the word of other gateways; those that explain the same crashes are banned together, so that requests with a part of them run and decide it. The depth of a segment is gone from table and message, and from the round-trip test of the message, which has the new field in its place; the test of equal decisions compares all traits of a ban in place of its one.

--- /dev/null
+++ b/acaciacrash/answered.go
@@ -0,0 +1,26 @@
+package acaciacrash
+
+// answeredTraits holds traits that endpoints have answered requests with, as evidence for the time when one of
+// those requests' like crashes an endpoint. It forgets those that have not been answered for longest.
+type answeredTraits struct {
+	// recent holds the traits answered since older was filled.
+	recent, older map[Trait]bool
+}
+
+// maxRecentlyAnswered bounds each of the two sets.
+const maxRecentlyAnswered = 2048
+
+func newAnsweredTraits() answeredTraits {
+	return answeredTraits{recent: map[Trait]bool{}, older: map[Trait]bool{}}
+}
+
+func (a *answeredTraits) add(trait Trait) {
+	if len(a.recent) >= maxRecentlyAnswered {
+		a.older, a.recent = a.recent, map[Trait]bool{}
+	}
+	a.recent[trait] = true
+}
+
+func (a *answeredTraits) contains(trait Trait) bool {
+	return a.recent[trait] || a.older[trait]
+}
--- a/acaciacrash/record.go
+++ b/acaciacrash/record.go
@@ -17,9 +17,6 @@
 		// Crash identifies the run of the endpoint that crashed.
 		Crash uint64
 		Trait Trait
-		// Depth is the position of the trait in the request. The deeper one is the more
-		// specific: requests share the beginnings of their prompts.
-		Depth int
 		// Attempt is one more than the crashes of requests with the trait that the sender knew
 		// of when it sent the request. Crashes of the same attempt may have one common cause
 		// that is none of the requests: the failure of a rack, for example.
@@ -28,14 +25,18 @@
 		ObservedAt time.Time
 		// Cleared reports whether an endpoint has answered a request with the trait since.
 		Cleared bool
+		// Answered reports whether an endpoint had answered a request with the trait before.
+		Answered bool
 	}
 
 	// weight is what speaks against a trait.
 	weight struct {
+		// answered reports whether endpoints had answered requests with the trait before.
+		answered bool
 		attempts int
-		crashes  int
-		depth    int
-		last     time.Time
+		// crashes holds the crashes that the trait explains, sorted.
+		crashes []uint64
+		last    time.Time
 	}
 
 	// recordKey identifies a record: a trait counts once for each crash.
@@ -45,10 +46,6 @@
 	}
 )
 
-// ContentDepth is the depth of the content of a request, which is more specific than all of its
-// segments.
-const ContentDepth = 1 << 16
-
 func (r *Record) key() recordKey {
 	return recordKey{r.Crash, r.Trait}
 }
@@ -58,6 +55,7 @@
 func (r *Record) merge(other Record) bool {
 	before := *r
 	r.Cleared = r.Cleared || other.Cleared
+	r.Answered = r.Answered || other.Answered
 	r.Attempt = max(r.Attempt, other.Attempt)
 	if other.ObservedAt.Before(r.ObservedAt) {
 		r.ObservedAt = other.ObservedAt
@@ -70,24 +68,35 @@
 	w := weight{}
 	attempts := map[int]bool{}
 	for _, record := range records {
+		w.answered = w.answered || record.Answered
 		if explained[record.Crash] {
 			continue
 		}
 		attempts[record.Attempt] = true
-		w.crashes++
-		w.depth = record.Depth
+		w.crashes = append(w.crashes, record.Crash)
 		if record.ObservedAt.After(w.last) {
 			w.last = record.ObservedAt
 		}
 	}
 	w.attempts = len(attempts)
+	slices.Sort(w.crashes)
 	return w
 }
 
-// compare orders the weights of two traits by how likely the trait is the cause: by the attempts
-// that ended in a crash, then by the crashes, then by how specific the trait is.
+// compare orders the weights of two traits by how likely the trait is the cause: one with which requests
+// had been answered is less likely; then by the attempts that ended in a crash, then by the crashes.
 func (w weight) compare(other weight) int {
-	return cmp.Or(cmp.Compare(w.attempts, other.attempts), cmp.Compare(w.crashes, other.crashes), cmp.Compare(w.depth, other.depth))
+	return cmp.Or(compareBool(!w.answered, !other.answered), cmp.Compare(w.attempts, other.attempts), cmp.Compare(len(w.crashes), len(other.crashes)))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
 
 // sortByObservation sorts records by the time of the crash.
--- a/acaciacrash/table.go
+++ b/acaciacrash/table.go
@@ -1,7 +1,6 @@
 package acaciacrash
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -14,22 +13,12 @@
 		// jitter is the share by which this process prolongs bans.
 		jitter  float64
 		records map[recordKey]Record
-		bans    map[Trait]*Ban
+		bans    []*Ban
+		// answered holds the segments that this process knows endpoints have answered.
+		answered answeredTraits
 		// outboxes get the records that this process adds or clears itself.
 		outboxes []*Outbox
 	}
-
-	// Ban says that requests with a trait are refused.
-	Ban struct {
-		Trait Trait
-		// Crashes is the number of crashes that the trait explains.
-		Crashes int
-		Until   time.Time
-
-		// nextTrial is when one more request may run although the ban has ended, because
-		// the trait has not been answered since.
-		nextTrial time.Time
-	}
 )
 
 const (
@@ -38,14 +27,6 @@
 
 	// minCrashes is the number of attempts ended by a crash that ban a trait.
 	minCrashes = 2
-	// initialBan is the duration of the first ban of a trait; it doubles with each further
-	// crash, up to maxBan.
-	initialBan = 30 * time.Second
-	maxBan     = time.Hour
-	// maxBanDoublings keeps the duration within its type.
-	maxBanDoublings = 16
-	// trialInterval is the time between two requests with a trait whose ban has ended.
-	trialInterval = time.Second
 	// recordLifetime is how long records are kept, maxRecords how many; the oldest are dropped.
 	recordLifetime = 2 * maxBan
 	maxRecords     = 256
@@ -54,7 +35,7 @@
 // NewTable returns an empty table. Bans last longer by a share of jitter, which should differ
 // between processes, so that they do not all try a banned trait again at the same time.
 func NewTable(jitter float64) *Table {
-	return &Table{jitter: jitter, records: map[recordKey]Record{}, bans: map[Trait]*Ban{}}
+	return &Table{jitter: jitter, records: map[recordKey]Record{}, answered: newAnsweredTraits()}
 }
 
 // Attempts returns the number of the attempt, for each of the traits, that a request makes when
@@ -84,22 +65,20 @@
 }
 
 // RecordCrash records that a request with the traits ran unproven on an endpoint that crashed.
-// The traits are in the order of their depth, the content is the last one; attempts is what
-// Attempts returned for them when the request was sent.
+// attempts is what Attempts returned for them when the request was sent.
 func (t *Table) RecordCrash(crash uint64, traits []Trait, attempts []int, now time.Time) {
-	for depth, trait := range traits {
-		attempt := attempts[depth]
-		if depth == len(traits)-1 {
-			depth = ContentDepth
-		}
-		t.publish(Record{Crash: crash, Trait: trait, Depth: depth, Attempt: attempt, ObservedAt: now})
+	for i, trait := range traits {
+		t.publish(Record{Crash: crash, Trait: trait, Attempt: attempts[i], ObservedAt: now, Answered: t.answered.contains(trait)})
 	}
 	t.decide(now)
 }
 
-// RecordAnswer records that an endpoint has survived to answer a request with the traits, which
-// clears them of all crashes so far.
+// RecordAnswer records that an endpoint has survived to answer a request with the traits, the last of
+// which is its content. That clears them of all crashes so far.
 func (t *Table) RecordAnswer(traits []Trait, now time.Time) {
+	for _, segment := range traits[:max(len(traits)-1, 0)] {
+		t.answered.add(segment)
+	}
 	changed := false
 	for _, record := range t.records {
 		if !record.Cleared && slices.Contains(traits, record.Trait) {
@@ -113,11 +92,16 @@
 	}
 }
 
-// Merge applies the records of another process and reports whether they tell anything new.
+// Merge applies the records of another process and reports whether they tell anything new. If this
+// process knows that a segment was answered before, it tells the others.
 func (t *Table) Merge(records []Record, now time.Time) bool {
 	changed := false
 	for _, record := range records {
 		changed = t.add(record) || changed
+		if !record.Answered && t.answered.contains(record.Trait) {
+			record.Answered = true
+			t.publish(record)
+		}
 	}
 	if changed {
 		t.decide(now)
@@ -129,24 +113,23 @@
 // run. Of requests with a trait whose ban has ended, one may run in each trialInterval; a nil
 // result counts as that one.
 func (t *Table) Refusal(traits []Trait, now time.Time) *Ban {
-	for _, trait := range traits {
-		ban := t.bans[trait]
-		if ban != nil && (now.Before(ban.Until) || now.Before(ban.nextTrial)) {
+	for _, ban := range t.bans {
+		if ban.applies(traits) && (ban.inForce(now) || now.Before(ban.nextTrial)) {
 			return ban
 		}
 	}
-	for _, trait := range traits {
-		if ban := t.bans[trait]; ban != nil {
+	for _, ban := range t.bans {
+		if ban.applies(traits) {
 			ban.nextTrial = now.Add(trialInterval)
 		}
 	}
 	return nil
 }
 
-// BanInForce returns the ban in force on one of the traits; nil if there is none.
+// BanInForce returns a ban in force on requests with the traits; nil if there is none.
 func (t *Table) BanInForce(traits []Trait, now time.Time) *Ban {
-	for _, trait := range traits {
-		if ban := t.bans[trait]; ban != nil && now.Before(ban.Until) {
+	for _, ban := range t.bans {
+		if ban.inForce(now) && ban.applies(traits) {
 			return ban
 		}
 	}
@@ -160,7 +143,7 @@
 	for _, ban := range t.bans {
 		bans = append(bans, *ban)
 	}
-	slices.SortFunc(bans, func(a, b Ban) int { return cmp.Compare(a.Trait, b.Trait) })
+	slices.SortFunc(bans, Ban.compare)
 	return bans
 }
 
@@ -175,39 +158,35 @@
 		}
 	}
 	explained := map[uint64]bool{}
-	bans := map[Trait]*Ban{}
+	var bans []*Ban
 	for {
-		ban := t.worstTrait(byTrait, explained)
-		if ban == nil {
-			break
+		suspects := make([]suspect, 0, len(byTrait))
+		for trait, records := range byTrait {
+			suspects = append(suspects, suspect{trait, weigh(records, explained)})
 		}
-		if known := t.bans[ban.Trait]; known != nil {
-			ban.nextTrial = known.nextTrial
+		suspects = worst(suspects)
+		if len(suspects) == 0 {
+			break
 		}
-		bans[ban.Trait] = ban
-		for _, record := range byTrait[ban.Trait] {
-			explained[record.Crash] = true
+		ban := newBan(suspects, t.jitter)
+		ban.nextTrial = t.nextTrial(ban)
+		bans = append(bans, ban)
+		for _, crash := range suspects[0].weight.crashes {
+			explained[crash] = true
 		}
-		delete(byTrait, ban.Trait)
 	}
 	t.bans = bans
 }
 
-// worstTrait returns the ban of the trait that most speaks against; nil if nothing is enough.
-func (t *Table) worstTrait(byTrait map[Trait][]Record, explained map[uint64]bool) *Ban {
-	var worst weight
-	var worstTrait Trait
-	for trait, records := range byTrait {
-		w := weigh(records, explained)
-		if w.attempts >= minCrashes && cmp.Or(w.compare(worst), cmp.Compare(trait, worstTrait)) > 0 {
-			worst, worstTrait = w, trait
+// nextTrial returns when a request may run next that a new ban applies to once it has ended: a former ban
+// on a part of its traits holds on.
+func (t *Table) nextTrial(ban *Ban) time.Time {
+	for _, known := range t.bans {
+		if known.applies(ban.Traits) {
+			return known.nextTrial
 		}
 	}
-	if worst.attempts == 0 {
-		return nil
-	}
-	duration := min(initialBan<<min(worst.attempts-minCrashes, maxBanDoublings), maxBan)
-	return &Ban{Trait: worstTrait, Crashes: worst.crashes, Until: worst.last.Add(duration + time.Duration(t.jitter*float64(duration)))}
+	return time.Time{}
 }
 
 // add adds a record, or what it tells of a known one, and reports whether that is new.
--- a/acaciacrash/table_test.go
+++ b/acaciacrash/table_test.go
@@ -177,7 +177,7 @@
 func traitsOf(bans []Ban) []Trait {
 	var traits []Trait
 	for _, ban := range bans {
-		traits = append(traits, ban.Trait)
+		traits = append(traits, ban.Traits...)
 	}
 	return traits
 }
--- a/acaciagateway/crash.go
+++ b/acaciagateway/crash.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,11 +77,15 @@
 // banError returns the error for a request that a ban refuses.
 func (x *exchange) banError(ban *acaciacrash.Ban, now time.Time) error {
 	what := "this content"
+	var segments []string
 	for i, name := range x.segmentNames() {
-		if i < len(x.traits)-1 && x.traits[i] == ban.Trait {
-			what = "prompts with segment " + name
+		if i < len(x.traits)-1 && slices.Contains(ban.Traits, x.traits[i]) {
+			segments = append(segments, name)
 		}
 	}
+	if len(segments) > 0 {
+		what = "prompts with segment " + strings.Join(segments, " and ")
+	}
 	return &acaciaroute.Error{
 		Code:       acaciaroute.CodePoisonContent,
 		Detail:     fmt.Sprintf("%d endpoints crashed while running %s", ban.Crashes, what),
--- a/acaciapeer/members_test.go
+++ b/acaciapeer/members_test.go
@@ -117,7 +117,7 @@
 			Streams:  []acaciaorigin.Stream{{Key: 1 << 63, Origin: acaciasite.Origin{Service: "m", Version: "v2"}}},
 		},
 		Crashes: []acaciacrash.Record{
-			{Crash: 1 << 63, Trait: 2, Depth: 3, Attempt: 4, ObservedAt: now.Add(-time.Millisecond), Cleared: true},
+			{Crash: 1 << 63, Trait: 2, Attempt: 4, ObservedAt: now.Add(-time.Millisecond), Cleared: true, Answered: true},
 		},
 	}
 	data, err := message.Encode(now)
--- a/acaciapeer/message.go
+++ b/acaciapeer/message.go
@@ -51,8 +51,8 @@
 	}
 	for _, record := range m.Crashes {
 		wire.CrashRecords = append(wire.CrashRecords, &acaciawire.CrashRecord{
-			Crash: record.Crash, Trait: uint64(record.Trait), Depth: uint32(record.Depth),
-			Attempt: encodeCount(record.Attempt), ObservedMsAgo: encodeAge(record.ObservedAt, now), Cleared: record.Cleared,
+			Crash: record.Crash, Trait: uint64(record.Trait),
+			Attempt: encodeCount(record.Attempt), ObservedMsAgo: encodeAge(record.ObservedAt, now), Cleared: record.Cleared, Answered: record.Answered,
 		})
 	}
 	for key, load := range m.Loads {
@@ -171,8 +171,8 @@
 
 func decodeCrash(record *acaciawire.CrashRecord, now time.Time) acaciacrash.Record {
 	return acaciacrash.Record{
-		Crash: record.Crash, Trait: acaciacrash.Trait(record.Trait), Depth: int(record.Depth),
-		Attempt: int(record.Attempt), ObservedAt: decodeAge(record.ObservedMsAgo, now), Cleared: record.Cleared,
+		Crash: record.Crash, Trait: acaciacrash.Trait(record.Trait),
+		Attempt: int(record.Attempt), ObservedAt: decodeAge(record.ObservedMsAgo, now), Cleared: record.Cleared, Answered: record.Answered,
 	}
 }
 
