A dying endpoint that still accepts connections has crashed

The request that crashed an endpoint was sent on to the next one, as if the first had broken off the answer for another reason.

Cause: one connection attempt decided whether an endpoint had crashed; the operating system accepts those while a process is dying.

Pool.Refuses has no caller left and is gone.

--- a/acaciagateway/crash_test.go
+++ b/acaciagateway/crash_test.go
@@ -1,8 +1,10 @@
 package acaciagateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -110,6 +112,32 @@
 	assert.Equal(t, e.crashes.Load(), int64(maxCrashes))
 }
 
+// The operating system accepts connections for a process that is dying, and resets them. Its crash must
+// count nevertheless, or what crashed it is sent to the next endpoint.
+func TestCrashIsSeenWhileConnectionsAreStillAccepted(t *testing.T) {
+	b := newTestbed(t)
+	listener, err := net.Listen("tcp", anyPort)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		const acceptedWhileDying = 3
+		for range 1 + acceptedWhileDying {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			connectionEnds["reset"](conn.(*net.TCPConn))
+		}
+		_ = listener.Close()
+	}()
+	registerEndpoint(t, b.store, testEndpoint, listener.Addr().String(), false)
+	waitFor(t, func() bool { return len(b.gateway.endpointIDs()) == 1 })
+	promptRequest(t, b.url, "d", fmt.Sprintf(crashingPrompt, 1))
+	want := fmt.Sprintf("acaciaroute_gateway_endpoint_crashes_total{service=%q} 1", acaciaplatformstandin.Service)
+	assert.Check(t, strings.Contains(b.metrics(), want), b.metrics())
+}
+
 // A gateway that starts after the crashes must not need crashes of its own.
 func TestNewGatewayLearnsWhatCrashesEndpoints(t *testing.T) {
 	b := newTestbed(t)
--- a/acaciaupstream/pool.go
+++ b/acaciaupstream/pool.go
@@ -190,17 +190,6 @@
 	return errNotIdle
 }
 
-// Refuses reports whether an address refuses connections, which proves that no process listens
-// there; silence proves nothing. An accepted connection is added to the pool.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return IsRefused(err)
-	}
-	p.put(newConnection(conn, address), 0)
-	return false
-}
-
 // IsRefused reports whether an error says that nothing listens at an address.
 func IsRefused(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED)
