What is held of answers is bounded for all together

Cause: bounds for each answer, none for all. Ruled out: heads, chunk headers, trailers and late answers, which TestEndlessBytesEndTheCall bounds.

Change: bodies and unfinished events hold at most a tenth of the memory together; the answer that holds most ends. Bodies are read in blocks, those known to be longer than 1 MiB are passed on as they come.

--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -47,7 +47,8 @@
 	retryCharged bool
 	// endpoint is the endpoint that the request was last dispatched to.
 	endpoint *acaciasite.Endpoint
-	// headerSent reports whether the header of a stream has been sent to the caller.
+	// headerSent reports whether the header of a stream, or of a long plain response, has been sent to the
+	// caller before all of the body was there.
 	headerSent   bool
 	headerSentAt time.Time
 	// lastEventID is the ID of the last event that the caller has, also from another attempt; the
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -30,6 +30,8 @@
 		recorder *acaciaevent.Recorder
 		metrics  *Metrics
 		upstream *acaciaupstream.Pool
+		// answerMemory bounds what is held of answers until they are passed on.
+		answerMemory *answerMemory
 
 		// configuration is the newest version; nil until one has been loaded.
 		configuration   atomic.Pointer[loadedConfiguration]
@@ -126,15 +128,16 @@
 	origins := acaciaorigin.NewTable(initialRetention)
 	requestsEnd, endRequests := context.WithCancel(context.Background())
 	return &Gateway{
-		settings:    settings,
-		store:       store,
-		era:         newEraWatch(),
-		recorder:    recorder,
-		metrics:     metrics,
-		upstream:    acaciaupstream.NewPool(),
-		requestsEnd: requestsEnd,
-		endRequests: endRequests,
-		loop:        acacialoop.New(ctx),
+		settings:     settings,
+		store:        store,
+		era:          newEraWatch(),
+		recorder:     recorder,
+		metrics:      metrics,
+		upstream:     acaciaupstream.NewPool(),
+		answerMemory: newAnswerMemory(settings.MemoryBytes),
+		requestsEnd:  requestsEnd,
+		endRequests:  endRequests,
+		loop:         acacialoop.New(ctx),
 		scheduler: acaciaschedule.New(acaciaschedule.Settings{
 			DataCentre: settings.DataCentre, Regions: settings.RegionOfDataCentre, Prefetch: prefetch, GuaranteedShare: guaranteedShare, Random: rand.Float64,
 		}),
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
@@ -18,47 +17,17 @@
 )
 
 const (
-	// maxResponseBytes bounds the body of a plain response.
-	maxResponseBytes  = 32 << 20
 	streamBufferBytes = 16 << 10
 	// minEventsForInterval is the least number of events of a stream that is reported to the
 	// scheduler.
 	minEventsForInterval = 4
 )
 
-var errResponseTooLong = errors.New("the response exceeds the size limit")
-
-// relayPlain reads a response completely before it forwards it to the caller.
-func (x *exchange) relayPlain(ctx context.Context, response *acaciaupstream.Response, wd *watchdog) (callOutcome, acaciaschedule.Failure, error) {
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLong
-	}
-	if err == nil {
-		err = x.proveEnd(ctx, response)
-	}
-	if err != nil {
-		return x.classifyReadError(ctx, response, wd, err)
-	}
-	failure := acaciaschedule.Failure(0)
-	if response.Status >= http.StatusInternalServerError {
-		failure = acaciaschedule.FailureErrorResponse
-	}
-	x.copyHeader(response)
-	if response.Length >= 0 || len(body) > 0 {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	x.w.WriteHeader(response.Status)
-	if _, err := x.w.Write(body); err != nil {
-		return outcomeCallerGone, failure, err
-	}
-	x.recordDelivered(response.Status)
-	return outcomeDelivered, failure, nil
-}
-
 // relayStream forwards complete events to the caller as they arrive.
 func (x *exchange) relayStream(ctx context.Context, response *acaciaupstream.Response, schedRequest *acaciaschedule.Request, wd *watchdog) (callOutcome, acaciaschedule.Failure, error) {
 	flusher := http.NewResponseController(x.w)
+	held := x.gateway.answerMemory.hold(wd.cancel)
+	defer held.release()
 	var pending []byte
 	buffer := make([]byte, streamBufferBytes)
 	for {
@@ -83,6 +52,7 @@
 			}
 		}
 		pending = append(pending[:0], rest...)
+		held.resize(cap(pending))
 		if eventErr != nil {
 			err = eventErr
 		}
@@ -120,6 +90,9 @@
 	if wd.fired() {
 		return outcomeFailed, wd.failure(), wd.cause()
 	}
+	if cause := context.Cause(ctx); errors.Is(cause, errAnswerMemory) {
+		return outcomeFailed, acaciaschedule.FailureInvalidResponse, cause
+	}
 	response.Close()
 	x.checkEndpointCrash(ctx)
 	return outcomeFailed, acaciaschedule.FailureInvalidResponse, err
--- a/acaciagateway/retry.go
+++ b/acaciagateway/retry.go
@@ -7,6 +7,7 @@
 	"github.com/acaciaroute/acaciaroute"
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciaschedule"
+	"github.com/acaciaroute/acaciaroute/acaciasite"
 )
 
 const (
@@ -53,9 +54,11 @@
 	return true
 }
 
-// mayRunAgain reports whether the route and maxRuns allow the request to run once more.
+// mayRunAgain reports whether the request may run once more: its route and maxRuns allow that, and the caller
+// has no part of a plain response.
 func (x *exchange) mayRunAgain() bool {
-	return x.route.Repeatable() && x.runs < maxRuns
+	pinned := x.headerSent && x.route.Kind != acaciasite.KindStream
+	return x.route.Repeatable() && x.runs < maxRuns && !pinned
 }
 
 // takeRetryBudget charges one retry to the retry budget, unless it has already been charged.
--- a/acaciagateway/watchdog.go
+++ b/acaciagateway/watchdog.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/acaciaroute/acaciaroute/acaciaschedule"
@@ -17,12 +18,17 @@
 	watchdog struct {
 		// silenceTimer fires when the endpoint has been silent for too long, slowTimer when
 		// the stream may move to a faster endpoint.
-		silenceTimer   *time.Timer
-		slowTimer      *time.Timer
-		ctx            context.Context
+		silenceTimer *time.Timer
+		slowTimer    *time.Timer
+		ctx          context.Context
+		// cancel ends the call for a reason.
+		cancel         context.CancelCauseFunc
 		silenceTimeout time.Duration
 		// canMove reports whether the request may move to another endpoint at all.
 		canMove bool
+		// pinned is set when a part of a plain response has been sent to the caller, so that
+		// the request can't move any more.
+		pinned atomic.Bool
 	}
 )
 
@@ -61,14 +67,14 @@
 	if x.route.Kind == acaciasite.KindStream {
 		silenceTimeout = silenceFactor*expected + firstEventMargin
 	}
-	wd := &watchdog{ctx: callCtx, silenceTimeout: silenceTimeout, canMove: x.canMove(schedRequest)}
+	wd := &watchdog{ctx: callCtx, cancel: cancel, silenceTimeout: silenceTimeout, canMove: x.canMove(schedRequest)}
 	// A timer is started only after its field is set, because its function resets it through
 	// that field.
-	wd.silenceTimer = time.AfterFunc(neverExpires, func() { x.moveIfSilent(schedRequest, wd, cancel) })
+	wd.silenceTimer = time.AfterFunc(neverExpires, func() { x.moveIfSilent(schedRequest, wd) })
 	wd.silenceTimer.Reset(silenceTimeout)
 	defer wd.silenceTimer.Stop()
 	totalTime := x.deadline.Sub(x.arrivedAt)
-	wd.slowTimer = time.AfterFunc(neverExpires, func() { x.moveIfSlow(schedRequest, wd, cancel) })
+	wd.slowTimer = time.AfterFunc(neverExpires, func() { x.moveIfSlow(schedRequest, wd) })
 	wd.slowTimer.Reset(time.Duration(moveAfterShare*float64(totalTime)) - time.Since(x.arrivedAt))
 	defer wd.slowTimer.Stop()
 	outcome, failure, err := x.callEndpoint(callCtx, schedRequest, wd)
@@ -82,7 +88,7 @@
 // moveIfSlow cancels the call of a stream that has used much of its time, if another endpoint
 // has a free slot and is much faster: a long response from a slow engine would not be complete
 // in time. If only such an endpoint or the retry budget is missing, it checks again later.
-func (x *exchange) moveIfSlow(schedRequest *acaciaschedule.Request, wd *watchdog, cancel context.CancelCauseFunc) {
+func (x *exchange) moveIfSlow(schedRequest *acaciaschedule.Request, wd *watchdog) {
 	g := x.gateway
 	g.loop.Post(func() {
 		if wd.ctx.Err() != nil || !wd.canMove || x.route.Kind != acaciasite.KindStream {
@@ -93,7 +99,7 @@
 			wd.slowTimer.Reset(moveCheckInterval)
 			return
 		}
-		cancel(errSlow)
+		wd.cancel(errSlow)
 	})
 }
 
@@ -112,21 +118,21 @@
 
 // moveIfSilent cancels the call if the request may move and another endpoint has a free slot.
 // If only a free slot or the retry budget is missing, it checks again later.
-func (x *exchange) moveIfSilent(schedRequest *acaciaschedule.Request, wd *watchdog, cancel context.CancelCauseFunc) {
+func (x *exchange) moveIfSilent(schedRequest *acaciaschedule.Request, wd *watchdog) {
 	g := x.gateway
 	g.loop.Post(func() {
 		if wd.ctx.Err() != nil {
 			return
 		}
 		now := g.loop.Now()
-		if !wd.canMove {
+		if !wd.canMove || wd.pinned.Load() {
 			return
 		}
 		if !g.scheduler.HasOtherEndpoint(schedRequest, now) || !g.retryBudget.TryRetry(x.service, g.members.Count(), now) {
 			wd.silenceTimer.Reset(wd.silenceTimeout)
 			return
 		}
-		cancel(errSilent)
+		wd.cancel(errSilent)
 	})
 }
 
