An endpoint that is back in doubt is dialled again, not asked for its report

Change: a connection must last 50 ms to show life; up to six are tried while the operating system, or an overloaded endpoint, ends them.

--- a/acaciagateway/crash.go
+++ b/acaciagateway/crash.go
@@ -29,8 +29,6 @@
 	// provenEvents is the number of events of a stream after which the endpoint has survived
 	// the beginning of the answer.
 	provenEvents = 2
-	// crashCheckInterval is the time between two questions to an endpoint that resets them.
-	crashCheckInterval = 10 * time.Millisecond
 	// maxTraits bounds the traits of a request; its content is always one of them.
 	maxTraits = 32
 )
@@ -124,28 +122,15 @@
 	})
 }
 
-// endpointCrashed reports whether the endpoint's process has ended: its address refuses connections, or
-// another process answers there. While a process is dying, the operating system accepts connections for it
-// and resets them, which proves nothing yet; nor does silence.
-func (x *exchange) endpointCrashed(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		switch x.judgeReport(x.requestReport(ctx)) {
-		case proofAnswered:
-			return false
-		case proofRefused, proofOtherProcess:
-			return true
-		}
-		sleep(ctx, crashCheckInterval)
-	}
-	return false
-}
-
-// checkEndpointCrash checks whether the endpoint has crashed. If it has, it records that this happened
-// while it ran the request.
+// checkEndpointCrash checks whether the endpoint refuses connections. If it does, it records
+// that the endpoint crashed while it ran the request.
 func (x *exchange) checkEndpointCrash(ctx context.Context) {
-	if ctx.Err() != nil || !x.endpointCrashed(ctx) {
+	if ctx.Err() != nil {
+		return
+	}
+	checkCtx, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
+	defer cancel()
+	if !x.gateway.upstream.Refuses(checkCtx, x.endpoint.Address) {
 		return
 	}
 	x.recordEndpointDead()
--- a/acaciagateway/crash_test.go
+++ b/acaciagateway/crash_test.go
@@ -121,12 +121,14 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		const acceptedWhileDying = 3
-		for range 1 + acceptedWhileDying {
+		for n := range 1 + acceptedWhileDying {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			if n == 0 {
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+			}
 			connectionEnds["reset"](conn.(*net.TCPConn))
 		}
 		_ = listener.Close()
--- a/acaciagateway/end_test.go
+++ b/acaciagateway/end_test.go
@@ -131,9 +131,10 @@
 					startUnframedEndpoint(t, b, unframedEvents, connectionEnds[endName], afterEnd)
 					r := b.send(http.MethodPost, path, "r-1", "x")
 					assert.NilError(t, r.err)
-					assert.Equal(t, r.status, http.StatusOK)
+					assert.Equal(t, r.status, http.StatusOK, r.body)
 					assert.Equal(t, r.body, unframedEvents)
-					assert.Check(t, strings.Contains(b.metrics(), `acaciaroute_gateway_unframed_answers_total{proof="answered"} 1`))
+					metrics := b.metrics()
+					assert.Check(t, strings.Contains(metrics, `acaciaroute_gateway_unframed_answers_total{proof="answered"} 1`), metrics)
 				})
 			}
 		}
--- a/acaciaupstream/pool.go
+++ b/acaciaupstream/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -60,6 +61,13 @@
 	// reused.
 	idleMargin      = 500 * time.Millisecond
 	readBufferBytes = 4096
+	// dyingTime is how long the operating system may keep a connection that it has accepted for a
+	// process that is dying.
+	dyingTime = 50 * time.Millisecond
+	// maxDials is how many connections to a process that may be dying are tried, redialPause the time
+	// between two of them.
+	maxDials    = 6
+	redialPause = 20 * time.Millisecond
 )
 
 var errNotIdle = errors.New("the connection is closed or holds unexpected data")
@@ -190,6 +198,42 @@
 	return errNotIdle
 }
 
+// Refuses reports whether an address refuses connections, which proves that no process listens
+// there; silence proves nothing. While a process is dying, the operating system accepts connections for it
+// and ends them, as an overloaded one does itself: then another one is tried, some times. A connection that
+// lasts is added to the pool.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	for range maxDials {
+		conn, err := p.dialer.DialContext(ctx, "tcp", address)
+		switch {
+		case errors.Is(err, syscall.ECONNRESET):
+			// Accepted, and ended before the dialer looked at it.
+		case err != nil:
+			return IsRefused(err)
+		case lasts(conn):
+			p.put(newConnection(conn, address), 0)
+			return false
+		default:
+			_ = conn.Close()
+		}
+		select {
+		case <-time.After(redialPause):
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// lasts reports whether a new connection is open for some time without receiving anything.
+func lasts(conn net.Conn) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(dyingTime)); err != nil {
+		return false
+	}
+	var buffer [1]byte
+	_, err := conn.Read(buffer[:])
+	return errors.Is(err, os.ErrDeadlineExceeded) && conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // IsRefused reports whether an error says that nothing listens at an address.
 func IsRefused(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED)
