A gateway that was out of step doesn't take silence for knowledge

Cause: three conclusions from not having heard: peers count as reachable for 3 s after their last word; gateways not known to know of a second version were not asked for; what is told during a short cut isn't told again.

Ruled out: a cut from the store alone (peers tell; the test passes before).

Change: such conclusions need each gateway's word since the request came, a second read of the records, and no gap in the counted reports. Versions that come and go within one read of the list are observed, too.

The older test of lost gateways names the run in its call, its checks are unchanged.

--- a/acaciagateway/aware.go
+++ b/acaciagateway/aware.go
@@ -1,15 +1,32 @@
 package acaciagateway
 
-import "time"
-
-// awareGateways tracks the gateways that know of a second software version of some service. They tell
-// what streams they begin; one that dies may have begun streams of which it has not told yet.
-type awareGateways struct {
-	// heardAt holds when each of them was last heard.
-	heardAt map[string]time.Time
-	// lostAt is when the last of them was lost; zero if none was.
-	lostAt time.Time
-}
+import (
+	"maps"
+	"time"
+)
+
+type (
+	// awareGateways tracks what this gateway may not have heard of the streams that others have begun: those
+	// that know of a second software version of some service tell what streams they begin.
+	awareGateways struct {
+		gateways map[string]*awareGateway
+		// lostAt is when the last gateway that knew of a second version was lost, missedAt when it
+		// was last noticed that one had told something in vain; zero if that never happened.
+		lostAt   time.Time
+		missedAt time.Time
+	}
+
+	// awareGateway is another gateway.
+	awareGateway struct {
+		// started identifies its run.
+		started int64
+		// reports is how many reports of streams it had sent by its last message.
+		reports uint64
+		// aware reports whether it knew of a second version then.
+		aware   bool
+		heardAt time.Time
+	}
+)
 
 const (
 	// maxAwareSilence is for how long a gateway that knows of a second version may be silent without
@@ -17,36 +34,54 @@
 	maxAwareSilence = 300 * time.Millisecond
 	// tellTime is the time within which a gateway that is alive has told of a stream.
 	tellTime = 250 * time.Millisecond
+	// maxMissedReports is how many reports in a row may be lost: each repeats the one before.
+	maxMissedReports = 1
 )
 
 func newAwareGateways() *awareGateways {
-	return &awareGateways{heardAt: map[string]time.Time{}}
+	return &awareGateways{gateways: map[string]*awareGateway{}}
 }
 
-// hear records a message of a gateway.
-func (a *awareGateways) hear(name string, aware bool, now time.Time) {
-	if aware {
-		a.heardAt[name] = now
-		return
+// hear records a message of a run of a gateway; reports counts the reports of streams up to it, and aware
+// tells whether it has one.
+func (a *awareGateways) hear(name string, started int64, reports uint64, aware bool, now time.Time) {
+	known := a.gateways[name]
+	if known != nil && known.started == started {
+		missed := int64(reports - known.reports)
+		if aware {
+			missed--
+		}
+		if missed > maxMissedReports {
+			a.missedAt = now
+		}
 	}
-	delete(a.heardAt, name)
+	a.gateways[name] = &awareGateway{started: started, reports: reports, aware: aware, heardAt: now}
 }
 
-// lose records that a run of a gateway has ended.
+// lose records that a run of a gateway has ended, or is out of reach.
 func (a *awareGateways) lose(name string, now time.Time) {
-	if _, aware := a.heardAt[name]; aware {
+	if lost := a.gateways[name]; lost != nil && lost.aware {
 		a.lostAt = now
-		delete(a.heardAt, name)
+		lost.aware = false
 	}
 }
 
-// allAlive reports whether none has been lost for some time, nor is silent now.
-func (a *awareGateways) allAlive(retention time.Duration, now time.Time) bool {
-	if !a.lostAt.IsZero() && now.Sub(a.lostAt) < retention {
-		return false
+// forget discards gateways that were last heard before a time: what they have told since is told again when
+// they return.
+func (a *awareGateways) forget(before time.Time) {
+	maps.DeleteFunc(a.gateways, func(_ string, g *awareGateway) bool { return g.heardAt.Before(before) })
+}
+
+// allHeard reports whether this gateway has heard all that was told within the retention: no gateway that
+// knew of a second version has been lost or is silent now, and nothing was told in vain.
+func (a *awareGateways) allHeard(retention time.Duration, now time.Time) bool {
+	for _, at := range []time.Time{a.lostAt, a.missedAt} {
+		if !at.IsZero() && now.Sub(at) < retention {
+			return false
+		}
 	}
-	for _, heardAt := range a.heardAt {
-		if now.Sub(heardAt) > maxAwareSilence {
+	for _, gateway := range a.gateways {
+		if gateway.aware && now.Sub(gateway.heardAt) > maxAwareSilence {
 			return false
 		}
 	}
--- a/acaciagateway/gossip.go
+++ b/acaciagateway/gossip.go
@@ -109,6 +109,7 @@
 	message.Used, message.UsedComplete = group.use.next(g.quota, message.Leaving, now)
 	message.Crashes = group.crashes.Next(now)
 	message.Origins = group.origins.Next(now)
+	message.OriginReports = group.origins.Reports()
 	data, err := message.Encode(now)
 	if err != nil {
 		g.recorder.RecordCallFailure("encode a message to peers", acaciaevent.Event{}, err)
@@ -152,6 +153,7 @@
 			g.quota.SetReachableShare(reachableShare)
 			g.scheduler.SetReachableShare(reachableShare)
 			g.origins.Expire(now)
+			g.aware.forget(now.Add(-g.origins.Retention()))
 			g.scheduleBroadcast()
 			g.metrics.updateGauges(g)
 		})
@@ -213,7 +215,7 @@
 	}
 	g.scheduler.ApplyReport(message.Process, message.Region, &message.Report, now)
 	g.quota.ApplyPeerUsage(message.Process, message.Used, message.UsedComplete, now)
-	g.aware.hear(message.Process, len(message.Origins.Versions) > 0, now)
+	g.aware.hear(message.Process, message.Started, message.OriginReports, len(message.Origins.Versions) > 0, now)
 	g.mergeOrigins(message.Origins)
 	g.mergeDoubts(message.Doubts)
 	if g.crashes.Merge(message.Crashes, now) {
--- a/acaciagateway/list.go
+++ b/acaciagateway/list.go
@@ -138,6 +138,8 @@
 		if !g.endpoints.listed[change.ID] {
 			continue
 		}
+		// A version that came and goes within these changes has been in service, too.
+		g.updateListedOrigins()
 		delete(g.endpoints.listed, change.ID)
 		g.forgetRegistration(change.ID)
 		if until := g.endpoints.keepUntil(now); !until.IsZero() && err == nil {
--- a/acaciagateway/origins.go
+++ b/acaciagateway/origins.go
@@ -177,7 +177,10 @@
 // list of endpoints: a registration stays for some heartbeats, and gateways that could read tell
 // the others. It must be called on the loop.
 func (g *Gateway) mayHaveMissedVersions(previous, now time.Time) bool {
-	return !previous.IsZero() && now.Sub(previous) > expiryHeartbeats*g.settings.HeartbeatInterval && g.members.ReachableShare(now) < 1
+	if previous.IsZero() || now.Sub(previous) <= expiryHeartbeats*g.settings.HeartbeatInterval {
+		return false
+	}
+	return g.members.ReachableShare(now) < 1 || !g.members.AllHeardSince(now.Add(-heartbeatInterval-tellTime))
 }
 
 // updateListedOrigins tells the table of origins which versions are listed, if that may have
--- a/acaciagateway/resume.go
+++ b/acaciagateway/resume.go
@@ -29,6 +29,8 @@
 const (
 	// originTimeout bounds the reads of the store that a stream of unknown origin waits for.
 	originTimeout = 700 * time.Millisecond
+	// peersCheckInterval is the time between two checks whether all gateways have been heard.
+	peersCheckInterval = 20 * time.Millisecond
 	// confirmTimeout bounds the read of the list of endpoints before a stream goes on; a longer
 	// pause would make the stream late.
 	confirmTimeout = 150 * time.Millisecond
@@ -82,10 +84,13 @@
 		return origin, source, nil
 	}
 	recordsErr := g.originsRefresher.refresh(ctx)
+	if listErr != nil {
+		x.awaitPeers(ctx)
+	}
 	if origin, source := x.currentOrigin(listErr == nil); source != originLost {
 		return origin, source, nil
 	}
-	if origin, source := x.predecessorOrigin(ctx); source != originLost {
+	if origin, source := x.predecessorOrigin(ctx, recordsErr == nil); source != originLost {
 		return origin, source, nil
 	}
 	if listErr != nil || recordsErr != nil {
@@ -120,8 +125,9 @@
 	certain := false
 	g.loop.Do(func() {
 		now := g.loop.Now()
-		// Gateways tell each other of a version that one of them can't read of in the store.
-		if listCurrent || g.members.ReachableShare(now) == 1 {
+		// Gateways tell each other of a version that one of them can't read of in the store. What
+		// they told before the request came doesn't count: they may be out of reach since.
+		if listCurrent || g.members.ReachableShare(now) == 1 && g.members.AllHeardSince(x.arrivedAt) {
 			origin.Service = service
 			origin.Version, certain = g.origins.OnlyVersion(service, now)
 		}
@@ -132,20 +138,39 @@
 	return origin, originOnlyVersion
 }
 
+// awaitPeers waits until all gateways have been heard since the request came, and reports whether they have.
+func (x *exchange) awaitPeers(ctx context.Context) (heard bool) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatInterval+tellTime)
+	defer cancel()
+	g := x.gateway
+	for {
+		g.loop.Do(func() { heard = g.members.AllHeardSince(x.arrivedAt) })
+		if heard || ctx.Err() != nil {
+			return heard
+		}
+		sleep(ctx, peersCheckInterval)
+	}
+}
+
 // predecessorOrigin returns the origin of a stream of which nobody has told, because the gateway that began
 // it knew of one version only, and how it was found. Gateways that know of a second one are given the
-// time to tell of theirs.
-func (x *exchange) predecessorOrigin(ctx context.Context) (origin acaciasite.Origin, source originSource) {
+// time to tell of theirs, and to record them if the records can be read; one that isn't heard may have
+// begun the stream.
+func (x *exchange) predecessorOrigin(ctx context.Context, recordsReadable bool) (origin acaciasite.Origin, source originSource) {
 	service, only := x.route.OnlyService()
 	if _, known := x.predecessor(service); !known || !only || x.metadata.Resumes == "" {
 		return origin, originLost
 	}
 	sleep(ctx, tellTime)
+	allHeard := x.awaitPeers(ctx)
+	if recordsReadable && x.gateway.originsRefresher.refresh(ctx) != nil {
+		allHeard = false
+	}
 	if origin, known := x.rememberedOrigin(); known {
 		return origin, originRemembered
 	}
 	version, known := x.predecessor(service)
-	if !known || ctx.Err() != nil {
+	if !known || !allHeard {
 		return origin, originLost
 	}
 	return acaciasite.Origin{Service: service, Version: version}, originPredecessor
@@ -156,7 +181,7 @@
 	g := x.gateway
 	g.loop.Do(func() {
 		now := g.loop.Now()
-		if g.aware.allAlive(g.origins.Retention(), now) {
+		if g.aware.allHeard(g.origins.Retention(), now) {
 			version, known = g.origins.Predecessor(service, now)
 		}
 	})
--- a/acaciagateway/resume_test.go
+++ b/acaciagateway/resume_test.go
@@ -161,7 +161,7 @@
 			gateway.loop.Do(func() {
 				gateway.updateListedOrigins()
 				if awareLost {
-					gateway.aware.hear("g-2", true, gateway.loop.Now())
+					gateway.aware.hear("g-2", 1, 1, true, gateway.loop.Now())
 					gateway.aware.lose("g-2", gateway.loop.Now())
 				}
 			})
--- a/acaciaorigin/report.go
+++ b/acaciaorigin/report.go
@@ -30,6 +30,8 @@
 		// repeated holds the streams of the last message, which the next one repeats because
 		// messages may be lost.
 		repeated []Stream
+		// reports counts the reports that tell something.
+		reports uint64
 	}
 )
 
@@ -68,9 +70,18 @@
 	if len(ambiguous) > 0 {
 		report.Versions = t.listedVersions(ambiguous, now)
 	}
+	if len(report.Versions) > 0 {
+		o.reports++
+	}
 	return report
 }
 
+// Reports returns how many reports of Next have named versions, so that their receivers can tell whether
+// they have missed any.
+func (o *Outbox) Reports() uint64 {
+	return o.reports
+}
+
 // forgetExpired discards streams that the table has discarded.
 func (o *Outbox) forgetExpired() {
 	for key := range o.told {
--- a/acaciapeer/members.go
+++ b/acaciapeer/members.go
@@ -167,6 +167,16 @@
 	return len(m.members) + 1
 }
 
+// AllHeardSince reports whether each known process has sent a message that arrived at a time or later.
+func (m *Members) AllHeardSince(at time.Time) bool {
+	for _, peer := range m.members {
+		if peer.lastHeard.Before(at) {
+			return false
+		}
+	}
+	return true
+}
+
 // ReachableShare returns the number of known processes as a share of those that may
 // be alive; it is 1 unless processes were dropped recently.
 func (m *Members) ReachableShare(now time.Time) float64 {
--- a/acaciapeer/members_test.go
+++ b/acaciapeer/members_test.go
@@ -110,7 +110,7 @@
 			Waiting: map[string]map[int]int{"m": {0: 2}},
 			Heads:   map[string][]acaciaschedule.QueuePosition{"m": {5, 7}},
 		},
-		Leaving: true, UsedComplete: true, StoreReadableMS: 4,
+		Leaving: true, UsedComplete: true, StoreReadableMS: 4, OriginReports: 5,
 		Used: map[string]float64{"club": 1.5},
 		Origins: acaciaorigin.Report{
 			Versions: []acaciaorigin.Version{{Origin: acaciasite.Origin{Service: "m", Version: "v1"}, LeftAgo: time.Second}},
--- a/acaciapeer/message.go
+++ b/acaciapeer/message.go
@@ -37,6 +37,8 @@
 	Crashes []acaciacrash.Record
 	// Origins tell which software versions began streams.
 	Origins acaciaorigin.Report
+	// OriginReports counts the messages of the run to this receiver whose Origins name versions.
+	OriginReports uint64
 	// Leaving marks the last message of a run.
 	Leaving bool
 }
@@ -47,7 +49,7 @@
 	wire := &acaciawire.GatewayMessage{
 		Process: m.Process, Started: uint64(m.Started), Sequence: m.Sequence, Region: m.Region, Version: m.Version,
 		Leaving: m.Leaving, StoreReadableMs: m.StoreReadableMS, Used: m.Used, UsedComplete: m.UsedComplete,
-		Origins: m.Origins.Encode(),
+		Origins: m.Origins.Encode(), OriginReports: m.OriginReports,
 	}
 	for _, record := range m.Crashes {
 		wire.CrashRecords = append(wire.CrashRecords, &acaciawire.CrashRecord{
@@ -91,7 +93,7 @@
 	m := Message{
 		Process: wire.Process, Started: int64(wire.Started), Sequence: wire.Sequence, Region: wire.Region, Version: wire.Version,
 		Leaving: wire.Leaving, StoreReadableMS: wire.StoreReadableMs, Used: wire.Used, UsedComplete: wire.UsedComplete,
-		Origins: acaciaorigin.DecodeReport(wire.Origins),
+		Origins: acaciaorigin.DecodeReport(wire.Origins), OriginReports: wire.OriginReports,
 		Report: acaciaschedule.Report{
 			Loads:   make(map[acaciaschedule.EndpointKey]acaciaschedule.EndpointLoad, len(wire.LoadEndpoints)),
 			Waiting: map[string]map[int]int{}, Heads: map[string][]acaciaschedule.QueuePosition{},
