--- a/acaciasystem/cluster_test.go
+++ b/acaciasystem/cluster_test.go
@@ -112,6 +112,10 @@
 		runSuspending(event)
 		return
 	}
+	if id := os.Getenv(endpointProcessVariable); id != "" {
+		runEndpointProcess(id)
+		return
+	}
 	dir, err := os.MkdirTemp("", "acaciasystem")
 	if err != nil {
 		panic(err)
--- a/acaciasystem/gateway_version_soak_test.go
+++ b/acaciasystem/gateway_version_soak_test.go
@@ -46,8 +46,8 @@
 	versionSoakEvents    = 40
 	versionSoakTries     = 5
 	versionEventInterval = 10 * time.Millisecond
-	// maxJoinedStreams is how many streams may hold events of two versions.
-	maxJoinedStreams = 2
+	// versionSoakEndpoints is large enough that most streams that break off can go on at their version.
+	versionSoakEndpoints = 12
 )
 
 var soakVersions = []string{"v1", "v2", "v3"}
@@ -70,7 +70,7 @@
 func runVersionSoak(t *testing.T, seed uint64) {
 	f := newFleet(t, 3, 0)
 	var endpoints []*versionedEndpoint
-	for i := range 6 {
+	for i := range versionSoakEndpoints {
 		endpoints = append(endpoints, f.addVersionedEndpoint(soakVersions[i%len(soakVersions)]))
 	}
 	end := time.Now().Add(versionSoakDuration)
@@ -108,7 +108,7 @@
 	group.Wait()
 	t.Logf("%d resumptions went on, %d could not, %d were to come back", counts.continued, counts.lost, counts.later)
 	assert.Check(t, counts.continued > 0)
-	assert.Check(t, counts.joined <= maxJoinedStreams, "%d streams are joined from two versions", counts.joined)
+	assert.Check(t, counts.joined == 0, "%d streams are joined from two versions", counts.joined)
 }
 
 // killAllGateways kills all gateways at the same time and starts them again.
