Suspects in a file of their own; evicted answers are a counter

No decision changes: weights and suspects move out of ban.go and record.go into suspect.go, likeliest has a name that says what it returns, and what only rises is a counter with the usual suffix.

--- a/acaciacrash/answered.go
+++ b/acaciacrash/answered.go
@@ -1,7 +1,7 @@
 package acaciacrash
 
-// answeredTraits holds traits that endpoints have answered requests with, as evidence for the time when one of
-// those requests' like crashes an endpoint. It forgets those that have not been answered for longest.
+// answeredTraits holds traits of requests that endpoints have answered: if such a trait is in a request that
+// crashes an endpoint, it is less likely the cause. Those that have not been answered for longest are forgotten.
 type answeredTraits struct {
 	// recent holds the traits answered since older was filled.
 	recent, older map[Trait]bool
--- a/acaciacrash/ban.go
+++ b/acaciacrash/ban.go
@@ -1,7 +1,6 @@
 package acaciacrash
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -51,32 +50,6 @@
 	return slices.Compare(b.Traits, other.Traits)
 }
 
-// suspect is a trait and what speaks against it.
-type suspect struct {
-	trait  Trait
-	weight weight
-}
-
-// equivalent reports whether two suspects explain the same crashes, and nothing else tells them apart.
-func (s suspect) equivalent(other suspect) bool {
-	return s.weight.answered == other.weight.answered && slices.Equal(s.weight.crashes, other.weight.crashes)
-}
-
-// worst returns those of the suspects that most speaks against, in the order of their traits. They are
-// several if they are equivalent. It returns none if the crashes of no suspect are enough.
-func worst(suspects []suspect) []suspect {
-	suspects = slices.DeleteFunc(suspects, func(s suspect) bool { return s.weight.attempts < minCrashes })
-	if len(suspects) == 0 {
-		return nil
-	}
-	first := slices.MaxFunc(suspects, func(a, b suspect) int {
-		return cmp.Or(a.weight.compare(b.weight), cmp.Compare(b.trait, a.trait))
-	})
-	suspects = slices.DeleteFunc(suspects, func(s suspect) bool { return !s.equivalent(first) })
-	slices.SortFunc(suspects, func(a, b suspect) int { return cmp.Compare(a.trait, b.trait) })
-	return suspects
-}
-
 // newBan returns the ban of equivalent suspects; jitter prolongs it by a share.
 func newBan(suspects []suspect, jitter float64) *Ban {
 	w := suspects[0].weight
--- a/acaciacrash/record.go
+++ b/acaciacrash/record.go
@@ -29,16 +29,6 @@
 		Answered bool
 	}
 
-	// weight is what speaks against a trait.
-	weight struct {
-		// answered reports whether endpoints had answered requests with the trait before.
-		answered bool
-		attempts int
-		// crashes holds the crashes that the trait explains, sorted.
-		crashes []uint64
-		last    time.Time
-	}
-
 	// recordKey identifies a record: a trait counts once for each crash.
 	recordKey struct {
 		crash uint64
@@ -63,42 +53,6 @@
 	return *r != before
 }
 
-// weigh returns the weight of the unexplained records of one trait.
-func weigh(records []Record, explained map[uint64]bool) weight {
-	w := weight{}
-	attempts := map[int]bool{}
-	for _, record := range records {
-		w.answered = w.answered || record.Answered
-		if explained[record.Crash] {
-			continue
-		}
-		attempts[record.Attempt] = true
-		w.crashes = append(w.crashes, record.Crash)
-		if record.ObservedAt.After(w.last) {
-			w.last = record.ObservedAt
-		}
-	}
-	w.attempts = len(attempts)
-	slices.Sort(w.crashes)
-	return w
-}
-
-// compare orders the weights of two traits by how likely the trait is the cause: one with which requests
-// had been answered is less likely; then by the attempts that ended in a crash, then by the crashes.
-func (w weight) compare(other weight) int {
-	return cmp.Or(compareBool(!w.answered, !other.answered), cmp.Compare(w.attempts, other.attempts), cmp.Compare(len(w.crashes), len(other.crashes)))
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // sortByObservation sorts records by the time of the crash.
 func sortByObservation(records []Record) {
 	slices.SortFunc(records, func(a, b Record) int {
--- a/acaciacrash/table.go
+++ b/acaciacrash/table.go
@@ -164,7 +164,7 @@
 		for trait, records := range byTrait {
 			suspects = append(suspects, suspect{trait, weigh(records, explained)})
 		}
-		suspects = worst(suspects)
+		suspects = likeliest(suspects)
 		if len(suspects) == 0 {
 			break
 		}
--- a/acaciagateway/memory.go
+++ b/acaciagateway/memory.go
@@ -18,7 +18,6 @@
 		mu      sync.Mutex
 		held    int64
 		answers map[*heldAnswer]bool
-		evicted int
 	}
 
 	// heldAnswer is what the memory holds of one answer.
@@ -81,7 +80,6 @@
 		}
 	}
 	m.remove(largest)
-	m.evicted++
 	largest.evict(errAnswerMemory)
 }
 
@@ -93,9 +91,9 @@
 	}
 }
 
-// counts returns how many bytes are held now, and how many answers have been evicted.
-func (m *answerMemory) counts() (held int64, evicted int) {
+// heldBytes returns how many bytes are held now.
+func (m *answerMemory) heldBytes() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.held, m.evicted
+	return m.held
 }
--- a/acaciagateway/memory_test.go
+++ b/acaciagateway/memory_test.go
@@ -45,7 +45,7 @@
 					sum += a.held.size
 				}
 			}
-			held, _ := m.counts()
+			held := m.heldBytes()
 			assert.Assert(t, held == sum && held <= m.limit, "%d bytes are held, %d counted, limit %d", sum, held, m.limit)
 		}
 	})
@@ -94,15 +94,14 @@
 				if r.err == nil && r.status == http.StatusOK && len(r.body) == 100<<10 {
 					whole.Add(1)
 				}
-				held, _ := b.gateway.answerMemory.counts()
+				held := b.gateway.answerMemory.heldBytes()
 				assert.Check(t, held <= limit, "%d bytes are held", held)
 			}
 		})
 	}
 	group.Wait()
-	held, evicted := b.gateway.answerMemory.counts()
-	assert.Equal(t, held, int64(0))
-	assert.Check(t, evicted > 0)
+	assert.Equal(t, b.gateway.answerMemory.heldBytes(), int64(0))
+	assert.Check(t, !strings.Contains(b.metrics(), "acaciaroute_gateway_evicted_answers_total 0\n"), "no answer was evicted")
 	assert.Check(t, whole.Load() > 0)
 	r := b.send(http.MethodPost, "/safe/sound", "last", "")
 	assert.NilError(t, r.err)
--- a/acaciagateway/metrics.go
+++ b/acaciagateway/metrics.go
@@ -29,7 +29,7 @@
 	doubtedEndpoints     prometheus.Gauge
 	unframedAnswers      *prometheus.CounterVec
 	heldAnswerBytes      prometheus.Gauge
-	evictedAnswers       prometheus.Gauge
+	evictedAnswers       prometheus.Counter
 }
 
 // NewMetrics returns metrics in a registry of their own, in which others are registered too.
@@ -64,8 +64,10 @@
 		unframedAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "acaciaroute_gateway_unframed_answers_total", Help: "Answers that ended with their connection, by what showed whether they were whole.",
 		}, []string{"proof"}),
-		heldAnswerBytes:  newGauge("acaciaroute_gateway_held_answer_bytes", "Bytes of answers that are held until more of them has come."),
-		evictedAnswers:   newGauge("acaciaroute_gateway_evicted_answers", "Answers ended since the start because answers held too much memory."),
+		heldAnswerBytes: newGauge("acaciaroute_gateway_held_answer_bytes", "Bytes of answers that are held until more of them has come."),
+		evictedAnswers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "acaciaroute_gateway_evicted_answers_total", Help: "Answers that were ended because answers held too much memory.",
+		}),
 		doubtedEndpoints: newGauge("acaciaroute_gateway_doubted_endpoints", "Endpoints that refused connections and have not registered since."),
 	}
 	m.registry.MustRegister(m.responses, m.firstEventTimes, m.responseTimes, m.waitingRequests, m.processes, m.configurationVersion, m.storeEra, m.bannedTraits, m.limitedEndpoints, m.leavingEndpoints, m.backoffEndpoints, m.endpointCrashes, m.resumedStreams, m.doubtedEndpoints, m.unframedAnswers, m.heldAnswerBytes, m.evictedAnswers)
@@ -108,7 +110,5 @@
 	m.leavingEndpoints.Set(float64(counts.Draining))
 	m.doubtedEndpoints.Set(float64(counts.Doubted))
 	m.configurationVersion.Set(float64(g.configurationVersion()))
-	heldBytes, evicted := g.answerMemory.counts()
-	m.heldAnswerBytes.Set(float64(heldBytes))
-	m.evictedAnswers.Set(float64(evicted))
+	m.heldAnswerBytes.Set(float64(g.answerMemory.heldBytes()))
 }
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -91,6 +91,7 @@
 		return outcomeFailed, wd.failure(), wd.cause()
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errAnswerMemory) {
+		x.gateway.metrics.evictedAnswers.Inc()
 		return outcomeFailed, acaciaschedule.FailureInvalidResponse, cause
 	}
 	response.Close()
