Add review case 7: a 503 of an endpoint that has run the request

A response 503 without Not-Executed is passed on to callers of non-idempotent routes, who take it for the promise that the request has not run, and send it again.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -20,6 +20,7 @@
 type play func(b *bed) (broken int, err error)
 
 var plays = map[string]play{
+	"refused": playRefused,
 	// The part stands behind the first 32 of a long conversation.
 	"deadly-late": deadly{partsBefore: 36}.play,
 	// Neither: this one is expected to hold.
