Add review case 8: a deadly part that lets endpoints write two events

After two events of an answer a request counts as harmless, and clears its segments of crashes. A segment that crashes endpoints after that is never banned.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,6 +23,8 @@
 	"refused": playRefused,
 	// The part stands behind the first 32 of a long conversation.
 	"deadly-late": deadly{partsBefore: 36}.play,
+	// A replica crashes when it has written two events.
+	"deadly-begun": deadly{partsBefore: 5, eventsBefore: 2}.play,
 	// Neither: this one is expected to hold.
 	"deadly": deadly{partsBefore: 5}.play,
 }
