--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -21,6 +21,7 @@
 
 var plays = map[string]play{
 	"refused": playRefused,
+	"options": playOptions,
 	// The part stands behind the first 32 of a long conversation.
 	"deadly-late": deadly{partsBefore: 36}.play,
 	// A replica crashes when it has written two events.
