--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -8,6 +8,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -50,6 +52,14 @@
 		return exitFailed
 	}
 	defer b.close()
+	// A script that is stopped must not leave its processes behind.
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stops
+		b.close()
+		os.Exit(exitFailed)
+	}()
 	b.store.put("keyed.op", "config", []byte(configuration))
 	broken, err := play(b)
 	if err != nil {
