Refuse responses whose status code is not one of HTTP

What callers saw: an endpoint's response with status 000 was passed over, and what followed its head on the connection, or stood in its body, reached the caller as the endpoint's answer. Through an entry and an agent, the engine's response with status 000 reached the caller as 200 with that body. Codes from 600 on were passed on.

Cause: net/http accepts any three digits as a status code. acaciaupstream took each code below 200 for that of an interim response and read on; agents passed the code 0 on, which entries take for a chunk without a head.

Change: acaciaresponse checks the bytes of each head before net/http parses them, and refuses codes outside of 100 to 599, and 101, which no request asks for. The pool of connections to endpoints, and by a Transport the clients of engines, the store, the platform's services and peers, read through it. A refused response is a failed call like one that is cut: requests that may be repeated go to another endpoint, others get 502.

Ruled out: a status of the store, which was an error already.

Why it works: nothing after a refused head is read on that connection, over new and kept ones alike, so that neither the gateway nor net/http can take it for an answer.

--- a/acaciaengine/client.go
+++ b/acaciaengine/client.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/acaciaroute/acaciaroute/acaciaresponse"
 )
 
 const dialTimeout = 2 * time.Second
@@ -18,11 +20,11 @@
 
 // newClient returns the client of NewClient with the given dial function, which tests replace.
 func newClient(dial dialFunc) *http.Client {
-	transport := &http.Transport{
+	transport := acaciaresponse.NewTransport(&http.Transport{
 		DialContext:        guardDial(dial),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
-	}
+	})
 	return &http.Client{
 		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/acaciaroute/acaciaroute/acaciaorigin"
 	"github.com/acaciaroute/acaciaroute/acaciapeer"
 	"github.com/acaciaroute/acaciaroute/acaciaregistration"
+	"github.com/acaciaroute/acaciaroute/acaciaresponse"
 	"github.com/acaciaroute/acaciaroute/acaciaretry"
 	"github.com/acaciaroute/acaciaroute/acaciaschedule"
 	"github.com/acaciaroute/acaciaroute/acaciasite"
@@ -188,7 +189,7 @@
 		unprovenCalls:      map[*exchange]unprovenCall{},
 		startedAt:          time.Now().UnixNano(),
 		peerSocket:         acaciagossip.NewSocket(recorder),
-		peerClient:         &http.Client{Transport: &http.Transport{}},
+		peerClient:         &http.Client{Transport: acaciaresponse.NewTransport(&http.Transport{})},
 		serverErrors:       make(chan error, 8),
 	}
 	g.configurationBound.Store(int64(settings.ConfigurationBound))
--- a/acaciaupstream/call.go
+++ b/acaciaupstream/call.go
@@ -179,7 +179,7 @@
 	// One system call writes both, without a copy of the body.
 	buffers := net.Buffers{request.Bytes(), call.Body}
 	write := func() {
-		_, err := buffers.WriteTo(r.connection.Conn)
+		_, err := buffers.WriteTo(r.connection.Conn.Conn)
 		r.writeResult <- err
 	}
 	if len(call.Body) <= maxSynchronousBodyBytes {
@@ -193,6 +193,9 @@
 func (r *Response) readHeader(call Call) error {
 	for range maxResponsesPerCall {
 		r.connection.limit.N = maxResponseHeaderBytes
+		if err := r.connection.expectResponse(); err != nil {
+			return err
+		}
 		response, err := http.ReadResponse(r.connection.reader, &http.Request{Method: call.Method})
 		if err != nil {
 			return err
--- a/acaciaupstream/pool.go
+++ b/acaciaupstream/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/acaciaroute/acaciaroute/acaciaresponse"
 )
 
 type (
@@ -32,7 +34,7 @@
 
 	// connection is a connection to an endpoint; it carries one request at a time.
 	connection struct {
-		net.Conn
+		*acaciaresponse.Conn
 		address  string
 		openedAt time.Time
 		// reader reads from limit, which ends the input while headers are read, before an
@@ -154,7 +156,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.usableUntil) && checkIdle(c.Conn) == nil {
+		if time.Now().Before(c.usableUntil) && checkIdle(c.Conn.Conn) == nil {
 			c.reused = true
 			return c, nil
 		}
@@ -183,8 +185,18 @@
 }
 
 func newConnection(conn net.Conn, address string) *connection {
-	limit := &io.LimitedReader{R: conn, N: math.MaxInt64}
-	return &connection{Conn: conn, address: address, openedAt: time.Now(), reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
+	checked := acaciaresponse.NewConn(conn)
+	limit := &io.LimitedReader{R: checked, N: math.MaxInt64}
+	return &connection{Conn: checked, address: address, openedAt: time.Now(), reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
+}
+
+// expectResponse makes the connection check what comes next as the head of a response.
+func (c *connection) expectResponse() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.ExpectResponse(buffered)
 }
 
 // popIdle makes the idle connection to an address that was used last an active one and returns it, nil if
--- a/cmd/acaciaroute/gateway.go
+++ b/cmd/acaciaroute/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/acaciaroute/acaciaroute/acacialog"
 	"github.com/acaciaroute/acaciaroute/acacialoop"
 	"github.com/acaciaroute/acaciaroute/acaciamemory"
+	"github.com/acaciaroute/acaciaroute/acaciaresponse"
 	"github.com/acaciaroute/acaciaroute/acaciaupstream"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 )
@@ -60,7 +61,7 @@
 	defer flushLog(lines)
 	log := logr.FromSlogHandler(acacialog.NewHandler(lines, acacialog.Settings{}))
 	recorder := acaciaevent.NewRecorder(settings.Name, acaciaevent.NewClock(time.Now), log, gatewayEventCapacity)
-	transport := &http.Transport{DialContext: acaciaupstream.NewDialer().DialContext}
+	transport := acaciaresponse.NewTransport(&http.Transport{DialContext: acaciaupstream.NewDialer().DialContext})
 	client := acaciaplatform.New(acaciaplatform.Settings{Store: settings.StoreURL}, transport)
 	metrics := acaciagateway.NewMetrics(client)
 	gateway := acaciagateway.New(context.Background(), settings, client.Store(), recorder, metrics)
--- a/cmd/acaciaroute/run.go
+++ b/cmd/acaciaroute/run.go
@@ -19,6 +19,7 @@
 	"github.com/acaciaroute/acaciaroute/acacialog"
 	"github.com/acaciaroute/acaciaroute/acaciamemory"
 	"github.com/acaciaroute/acaciaroute/acaciaprocess"
+	"github.com/acaciaroute/acaciaroute/acaciaresponse"
 	"github.com/acaciaroute/acaciaroute/acaciasetting"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 )
@@ -114,7 +115,7 @@
 
 // newPlatform returns a client of the platform.
 func newPlatform(settings acaciaplatform.Settings) *acaciaplatform.Client {
-	return acaciaplatform.New(settings, http.DefaultTransport)
+	return acaciaplatform.New(settings, acaciaresponse.NewTransport(http.DefaultTransport.(*http.Transport)))
 }
 
 // newLogger returns a logger that limits the lines with the same message in each second to
