--- a/acaciaengine/malformed_test.go
+++ b/acaciaengine/malformed_test.go
@@ -26,7 +26,8 @@
 			if err != nil {
 				return
 			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
 				_, _ = io.WriteString(conn, text)
 			}
 			_ = conn.Close()
@@ -55,6 +56,22 @@
 	assert.Check(t, errors.As(err, &headErr), "load report: %v", err)
 }
 
+// A field whose name holds a blank was passed over, or became a part of the field before it: then the body wasn't framed
+// as its engine had framed it.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
+	for name, response := range map[string]string{
+		"length":            "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nno, and more",
+		"chunks":            "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"before a name":     "HTTP/1.1 200 OK\r\nX-Shard: 1\r\n Content-Length: 2\r\n\r\nno, and more",
+		"another field":     "HTTP/1.1 200 OK\r\nX Shard: 1\r\nContent-Length: 2\r\n\r\nno",
+		"interim response":  "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+		"a control byte":    "HTTP/1.1 200 OK\r\nX\x01Shard: 1\r\nContent-Length: 2\r\n\r\nno",
+		"a tab in the name": "HTTP/1.1 200 OK\r\nX\tShard: 1\r\nContent-Length: 2\r\n\r\nno",
+	} {
+		t.Run(name, func(t *testing.T) { checkNoAnswer(t, response) })
+	}
+}
+
 // An engine's answer with a status code outside of the five classes of HTTP became the answer of its agent, without a
 // status, which reached the caller as 200.
 func TestStatusOutsideOfHTTPIsNoAnswer(t *testing.T) {
--- a/acaciagateway/malformed_test.go
+++ b/acaciagateway/malformed_test.go
@@ -198,3 +198,60 @@
 	assert.NilError(t, b.gateway.fetchConfiguration(context.Background(), address))
 	assert.Equal(t, b.gateway.configuration.Load().Version, before+1)
 }
+
+// A field whose name held a blank was passed over, or became a part of the field before it. Its line was passed on so, or
+// the body wasn't framed as the endpoint had framed it.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n" + malformedFields
+	fields := map[string]struct{ name, rest, body string }{
+		"length":        {"Content-Length", ": 20\r\n", brokenBody},
+		"chunks":        {"Transfer-Encoding", ": chunked\r\n", brokenChunks},
+		"another field": {"X-Shard", ": 3\r\nContent-Length: 20\r\n", brokenBody},
+	}
+	for byteName, malformed := range map[string]string{"blank": " ", "tab": "\t", "NUL": "\x00", "VT": "\x0b", "LF": "\n", "CR": "\r", "DEL": "\x7f"} {
+		for fieldName, field := range fields {
+			for place, name := range map[string]string{
+				"before": malformed + field.name, "within": field.name[:3] + malformed + field.name[3:], "after": field.name + malformed,
+			} {
+				line := name + field.rest
+				checkAllRoutes(t, byteName+" "+place+" "+fieldName, ok+line+"\r\n"+field.body)
+			}
+		}
+		interim := "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\nX" + malformed + "Shard: 3\r\n\r\n"
+		checkAllRoutes(t, byteName+" in an interim response", interim+brokenResponse)
+		checkAllRoutes(t, byteName+" after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n"+ok+"X"+malformed+": 3\r\nContent-Length: 20\r\n\r\n"+brokenBody)
+	}
+}
+
+// An endpoint whose report names another process in such a field, or has any, gives no proof that an answer without
+// framing is whole.
+func TestMalformedFieldNameIsNoReport(t *testing.T) {
+	for _, path := range []string{"/unsafe/", "/safe/", "/stream/"} {
+		for name, report := range map[string]string{
+			"another process": "HTTP/1.1 421 Misdirected Request\r\nReplica-Id : i-9\r\nContent-Length: 0\r\n\r\n",
+			"folded":          "HTTP/1.1 421 Misdirected Request\r\nX-Shard: 3\r\n Replica-Id: i-9\r\nContent-Length: 0\r\n\r\n",
+			"another field":   reportHead + "X Shard: 3\r\nContent-Length: 13\r\n\r\n{\"running\":1}",
+		} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				b := newTestbed(t)
+				startUnframedEndpoint(t, b, newUnframedID(), brokenBody, connectionEnds["close"], answerWith(report))
+				r := b.send(http.MethodPost, path, "r-1", "x")
+				assert.Check(t, r.err != nil || r.status >= http.StatusBadGateway, "status %d, body %q", r.status, r.body)
+			})
+		}
+	}
+}
+
+// A configuration that comes with such a field is not the peer's.
+func TestMalformedFieldNameIsNoConfiguration(t *testing.T) {
+	b := newTestbed(t)
+	waitFor(t, func() bool { return b.gateway.configuration.Load() != nil })
+	before := b.gateway.configuration.Load().Version
+	text := string(acaciaplatformstandin.Configuration(int(before)+1, 3000, 0))
+	for _, field := range []string{"Content-Length : 1", "X Shard: 3", "X-Shard: 3\r\n X-Shard: 4"} {
+		address := startRawListener(t, answerWith("HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n"+text))
+		assert.Check(t, b.gateway.fetchConfiguration(context.Background(), address) != nil, field)
+	}
+	assert.Equal(t, b.gateway.configuration.Load().Version, before)
+}
--- a/acaciasystem/malformed_test.go
+++ b/acaciasystem/malformed_test.go
@@ -34,7 +34,8 @@
 	t.Helper()
 	c := newCluster(t, 1, 0, 1)
 	c.replaceEndpoint(c.plainNodes[0], func(conn *net.TCPConn) {
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+		if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
 			_, _ = io.WriteString(conn, answer)
 		}
 		_ = conn.Close()
@@ -44,6 +45,12 @@
 	assert.Equal(t, got.status, http.StatusBadGateway, got.body)
 }
 
+// An engine's answer in chunks reached the caller with the sizes of its chunks as a part of the body.
+func TestMalformedFieldNameOfAnEngineIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	checkEngineAnswerIsRefused(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n")
+}
+
 // An engine's answer with status 000 reached the caller as 200.
 func TestStatusOutsideOfHTTPOfAnEngineIsNoAnswer(t *testing.T) {
 	t.Parallel()
