Don't take a part of an answer for the whole when its connection is reset during an upload

What callers saw: the answer to a long upload was 200, with a Content-Length of its own and the endpoint's signature, or a whole stream, and had only a part of what the endpoint would have written.

Cause: an answer with neither a length nor chunks ends with its connection. The operating system reports a reset once. The write of the upload, which was waiting, got it; the read of the answer then found the end of the input, like after an end in order. The endpoint's process lived on and answered the request for its report, which was taken for the proof. Agents had the same from their engines, whose connections net/http reads.

Change: on a connection of acaciaresponse the end of the input is that of a response only if the request has been written whole and without an error.

Tried and dropped: an end that counts unless the write got a reset.

Why it works: the error of the write is looked at before the end is believed, whichever of the two the reset was reported to first. What it costs: an endpoint that answers early without a length and then takes no more of the upload gives no whole answer, as nothing tells it from one in trouble.

--- a/acaciaresponse/transport.go
+++ b/acaciaresponse/transport.go
@@ -49,12 +49,19 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*Conn); ok {
+	endRequest := func() {}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn, ok := info.Conn.(*Conn)
+			if !ok {
+				return
+			}
+			endRequest = conn.BeginRequest()
 			// Without buffered bytes there is no error.
 			_ = conn.ExpectResponse(nil)
-		}
-	}}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) { endRequest() },
+	}
 	return t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 }
 
--- a/acaciaupstream/call.go
+++ b/acaciaupstream/call.go
@@ -178,8 +178,10 @@
 	request.WriteString("\r\n")
 	// One system call writes both, without a copy of the body.
 	buffers := net.Buffers{request.Bytes(), call.Body}
+	endRequest := r.connection.BeginRequest()
 	write := func() {
-		_, err := buffers.WriteTo(r.connection.Conn.Conn)
+		err := r.connection.WriteBuffers(buffers)
+		endRequest()
 		r.writeResult <- err
 	}
 	if len(call.Body) <= maxSynchronousBodyBytes {
