--- a/acaciaengine/malformed_test.go
+++ b/acaciaengine/malformed_test.go
@@ -12,28 +12,22 @@
 
 	"github.com/acaciaroute/acaciaroute"
 	"github.com/acaciaroute/acaciaroute/acaciaresponse"
+	"github.com/acaciaroute/acaciaroute/acaciastandin"
 )
 
 // startRawServer starts a server that answers each request with a text and closes the connection. It returns its URL.
 func startRawServer(t *testing.T, text string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, text)
-			}
-			_ = conn.Close()
+	server, err := acaciastandin.StartRawServer(t.Context(), "127.0.0.1:0", 0, func(conn *net.TCPConn) {
+		if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, text)
 		}
-	}()
-	return "http://" + listener.Addr().String()
+		_ = conn.Close()
+	})
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	return "http://" + server.Address()
 }
 
 // checkNoAnswer checks that a malformed response is an error of the call, which the endpoint may have run.
--- a/acaciagateway/cut_test.go
+++ b/acaciagateway/cut_test.go
@@ -47,6 +47,13 @@
 	cutChunked = cutHead + "Transfer-Encoding: chunked\r\nTrailer: X-End\r\n\r\n"
 )
 
+var cutRoutes = map[string]cutRoute{
+	"non-idempotent":   {"/unsafe/", "true", 1},
+	"idempotent":       {"/safe/", "true", 2},
+	"stream":           {"/stream/", "false", 1},
+	"resumable stream": {"/stream/", "true", 2},
+}
+
 // cuts are the places at which an answer can end.
 var cuts = map[string]string{
 	"in the status line":                         "HTTP/1.1 20",
@@ -138,15 +145,9 @@
 // a request that has run must not be refused as one that has not, and only a request that may run again does. A stream
 // goes on at another endpoint so that its caller gets each event once, or its connection is broken.
 func TestAnswerCutAtAnyPlaceIsNeverComplete(t *testing.T) {
-	routes := map[string]cutRoute{
-		"non-idempotent":   {"/unsafe/", "true", 1},
-		"idempotent":       {"/safe/", "true", 2},
-		"stream":           {"/stream/", "false", 1},
-		"resumable stream": {"/stream/", "true", 2},
-	}
 	for cut, part := range cuts {
 		for endName, end := range connectionEnds {
-			for name, route := range routes {
+			for name, route := range cutRoutes {
 				neither := strings.Contains(cut, "neither")
 				// A stream that ends inside an event is never whole, also if its endpoint lives on.
 				insideEvent := neither && route.path == "/stream/" && !strings.HasSuffix(part, "\n\n") && !strings.HasSuffix(part, "\r\n")
--- a/acaciagateway/malformed_test.go
+++ b/acaciagateway/malformed_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/acaciaroute/acaciaroute/acaciastandin"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
@@ -39,13 +40,13 @@
 
 const (
 	idPlace = "REQUEST-ID"
-	// malformedFields are fields of a head with which a response passes for the endpoint's answer.
-	malformedFields = acaciaplatformstandin.HeaderRequestID + ": " + idPlace + "\r\n" + acaciaplatformstandin.HeaderSignature + ": seal\r\n"
-	wholeBody       = "id: 1\ndata: whole\n\n"
-	brokenBody      = "id: 1\ndata: broken\n\n"
-	wholeResponse   = "HTTP/1.1 200 OK\r\n" + malformedFields + "Content-Length: 19\r\n\r\n" + wholeBody
-	brokenResponse  = "HTTP/1.1 200 OK\r\n" + malformedFields + "Content-Length: 20\r\n\r\n" + brokenBody
-	brokenChunks    = "14\r\n" + brokenBody + "\r\n0\r\n\r\n"
+	// sealedFields are fields of a head with which a response passes for the endpoint's answer.
+	sealedFields   = acaciaplatformstandin.HeaderRequestID + ": " + idPlace + "\r\n" + acaciaplatformstandin.HeaderSignature + ": seal\r\n"
+	wholeBody      = "id: 1\ndata: whole\n\n"
+	brokenBody     = "id: 1\ndata: broken\n\n"
+	wholeResponse  = "HTTP/1.1 200 OK\r\n" + sealedFields + "Content-Length: 19\r\n\r\n" + wholeBody
+	brokenResponse = "HTTP/1.1 200 OK\r\n" + sealedFields + "Content-Length: 20\r\n\r\n" + brokenBody
+	brokenChunks   = "14\r\n" + brokenBody + "\r\n0\r\n\r\n"
 	// maxKeptAttempts bounds the requests after which a connection has been used twice.
 	maxKeptAttempts = 20
 )
@@ -56,26 +57,18 @@
 	"stream":         {"/stream/", true},
 }
 
-// startRawListener starts a server that runs serve for each connection, and returns its address.
-func startRawListener(t *testing.T, serve func(net.Conn)) string {
+// startRawEndpoint starts a server that runs serve for each connection, of whose data it takes little before serve reads it
+// if receiveBytes isn't zero. It returns its address.
+func startRawEndpoint(t *testing.T, receiveBytes int, serve func(*net.TCPConn)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", anyPort)
+	server, err := acaciastandin.StartRawServer(t.Context(), anyPort, receiveBytes, serve)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return listener.Addr().String()
+	t.Cleanup(server.Close)
+	return server.Address()
 }
 
 // serve answers the requests of a connection.
-func (e *malformedEndpoints) serve(conn net.Conn) {
+func (e *malformedEndpoints) serve(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for served := 0; ; {
@@ -108,7 +101,7 @@
 	b := newTestbed(t)
 	e := &malformedEndpoints{response: response, keptConnection: keptConnection}
 	for i := range 2 {
-		registerEndpoint(t, b.store, fmt.Sprint("i-", i), startRawListener(t, e.serve), false)
+		registerEndpoint(t, b.store, fmt.Sprint("i-", i), startRawEndpoint(t, 0, e.serve), false)
 	}
 	waitFor(t, func() bool { return len(b.gateway.endpointIDs()) == 2 })
 	var r testResponse
@@ -141,12 +134,48 @@
 	}
 }
 
+// checkReportsAreNoProof checks that callers don't get answers without framing as whole whose endpoint sends a report.
+func checkReportsAreNoProof(t *testing.T, reports map[string]string) {
+	t.Helper()
+	for name, report := range reports {
+		for _, path := range []string{"/unsafe/", "/safe/", "/stream/"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				b := newTestbed(t)
+				startUnframedEndpoint(t, b, newUnframedID(), brokenBody, connectionEnds["close"], answerWith(report))
+				r := b.send(http.MethodPost, path, "r-1", "x")
+				assert.Check(t, r.err != nil || r.status >= http.StatusBadGateway, "status %d, body %q", r.status, r.body)
+			})
+		}
+	}
+}
+
+// checkConfigurationsAreRefused checks that the gateway applies no configuration that comes with one of several heads.
+func checkConfigurationsAreRefused(t *testing.T, heads ...string) {
+	t.Helper()
+	b := newTestbed(t)
+	waitFor(t, func() bool { return b.gateway.configuration.Load() != nil })
+	before := b.gateway.configuration.Load().Version
+	text := string(acaciaplatformstandin.Configuration(int(before)+1, 3000, 0))
+	fetch := func(head string) error {
+		answer := answerWith(head + text)
+		address := startRawEndpoint(t, 0, func(conn *net.TCPConn) { answer(conn) })
+		return b.gateway.fetchConfiguration(context.Background(), address)
+	}
+	for _, head := range heads {
+		assert.Check(t, fetch(head) != nil, head)
+	}
+	assert.Equal(t, b.gateway.configuration.Load().Version, before)
+	assert.NilError(t, fetch("HTTP/1.1 200 OK\r\n\r\n"))
+	assert.Equal(t, b.gateway.configuration.Load().Version, before+1)
+}
+
 // A status code outside of the five classes of HTTP was taken for that of an interim response, or passed on. Callers
 // got what followed the head as the answer.
 func TestStatusOutsideOfHTTPIsNoAnswer(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 	for _, status := range []string{"000", "099", "101", "600", "999"} {
-		head := "HTTP/1.1 " + status + " Unknown\r\n" + malformedFields
+		head := "HTTP/1.1 " + status + " Unknown\r\n" + sealedFields
 		for name, response := range map[string]string{
 			"no body":                     head + "Content-Length: 0\r\n\r\n",
 			"body with a length":          head + "Content-Length: 20\r\n\r\n" + brokenBody,
@@ -166,43 +195,22 @@
 
 // An endpoint whose report has such a status gives no proof that an answer without framing is whole.
 func TestStatusOutsideOfHTTPIsNoReport(t *testing.T) {
-	for _, path := range []string{"/unsafe/", "/safe/", "/stream/"} {
-		for name, report := range map[string]string{
-			"alone":           "HTTP/1.1 000 Unknown\r\nContent-Length: 13\r\n\r\n{\"running\":1}",
-			"before a report": "HTTP/1.1 000 Unknown\r\n\r\n" + reportHead + "Content-Length: 13\r\n\r\n{\"running\":1}",
-			"too high":        "HTTP/1.1 600 Unknown\r\nContent-Length: 13\r\n\r\n{\"running\":1}",
-		} {
-			t.Run(name+path, func(t *testing.T) {
-				t.Parallel()
-				b := newTestbed(t)
-				startUnframedEndpoint(t, b, newUnframedID(), brokenBody, connectionEnds["close"], answerWith(report))
-				r := b.send(http.MethodPost, path, "r-1", "x")
-				assert.Check(t, r.err != nil || r.status >= http.StatusBadGateway, "status %d, body %q", r.status, r.body)
-			})
-		}
-	}
+	checkReportsAreNoProof(t, map[string]string{
+		"alone":           "HTTP/1.1 000 Unknown\r\nContent-Length: 13\r\n\r\n{\"running\":1}",
+		"before a report": "HTTP/1.1 000 Unknown\r\n\r\n" + reportHead + "Content-Length: 13\r\n\r\n{\"running\":1}",
+		"too high":        "HTTP/1.1 600 Unknown\r\nContent-Length: 13\r\n\r\n{\"running\":1}",
+	})
 }
 
 // A configuration that comes with such a status is not the peer's.
 func TestStatusOutsideOfHTTPIsNoConfiguration(t *testing.T) {
-	b := newTestbed(t)
-	waitFor(t, func() bool { return b.gateway.configuration.Load() != nil })
-	before := b.gateway.configuration.Load().Version
-	text := string(acaciaplatformstandin.Configuration(int(before)+1, 3000, 0))
-	for _, status := range []string{"000", "600"} {
-		address := startRawListener(t, answerWith(fmt.Sprintf("HTTP/1.1 %s Unknown\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)))
-		assert.Check(t, b.gateway.fetchConfiguration(context.Background(), address) != nil, status)
-	}
-	assert.Equal(t, b.gateway.configuration.Load().Version, before)
-	address := startRawListener(t, answerWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)))
-	assert.NilError(t, b.gateway.fetchConfiguration(context.Background(), address))
-	assert.Equal(t, b.gateway.configuration.Load().Version, before+1)
+	checkConfigurationsAreRefused(t, "HTTP/1.1 000 Unknown\r\n\r\n", "HTTP/1.1 600 Unknown\r\n\r\n")
 }
 
 // A field whose name held a blank was passed over, or became a part of the field before it. Its line was passed on so, or
 // the body wasn't framed as the endpoint had framed it.
 func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK\r\n" + malformedFields
+	const ok = "HTTP/1.1 200 OK\r\n" + sealedFields
 	fields := map[string]struct{ name, rest, body string }{
 		"length":        {"Content-Length", ": 20\r\n", brokenBody},
 		"chunks":        {"Transfer-Encoding", ": chunked\r\n", brokenChunks},
@@ -226,32 +234,15 @@
 // An endpoint whose report names another process in such a field, or has any, gives no proof that an answer without
 // framing is whole.
 func TestMalformedFieldNameIsNoReport(t *testing.T) {
-	for _, path := range []string{"/unsafe/", "/safe/", "/stream/"} {
-		for name, report := range map[string]string{
-			"another process": "HTTP/1.1 421 Misdirected Request\r\nReplica-Id : i-9\r\nContent-Length: 0\r\n\r\n",
-			"folded":          "HTTP/1.1 421 Misdirected Request\r\nX-Shard: 3\r\n Replica-Id: i-9\r\nContent-Length: 0\r\n\r\n",
-			"another field":   reportHead + "X Shard: 3\r\nContent-Length: 13\r\n\r\n{\"running\":1}",
-		} {
-			t.Run(name+path, func(t *testing.T) {
-				t.Parallel()
-				b := newTestbed(t)
-				startUnframedEndpoint(t, b, newUnframedID(), brokenBody, connectionEnds["close"], answerWith(report))
-				r := b.send(http.MethodPost, path, "r-1", "x")
-				assert.Check(t, r.err != nil || r.status >= http.StatusBadGateway, "status %d, body %q", r.status, r.body)
-			})
-		}
-	}
+	checkReportsAreNoProof(t, map[string]string{
+		"another process": "HTTP/1.1 421 Misdirected Request\r\nReplica-Id : i-9\r\nContent-Length: 0\r\n\r\n",
+		"folded":          "HTTP/1.1 421 Misdirected Request\r\nX-Shard: 3\r\n Replica-Id: i-9\r\nContent-Length: 0\r\n\r\n",
+		"another field":   reportHead + "X Shard: 3\r\nContent-Length: 13\r\n\r\n{\"running\":1}",
+	})
 }
 
 // A configuration that comes with such a field is not the peer's.
 func TestMalformedFieldNameIsNoConfiguration(t *testing.T) {
-	b := newTestbed(t)
-	waitFor(t, func() bool { return b.gateway.configuration.Load() != nil })
-	before := b.gateway.configuration.Load().Version
-	text := string(acaciaplatformstandin.Configuration(int(before)+1, 3000, 0))
-	for _, field := range []string{"Content-Length : 1", "X Shard: 3", "X-Shard: 3\r\n X-Shard: 4"} {
-		address := startRawListener(t, answerWith("HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n"+text))
-		assert.Check(t, b.gateway.fetchConfiguration(context.Background(), address) != nil, field)
-	}
-	assert.Equal(t, b.gateway.configuration.Load().Version, before)
+	const ok = "HTTP/1.1 200 OK\r\n"
+	checkConfigurationsAreRefused(t, ok+"Content-Length : 1\r\n\r\n", ok+"X Shard: 3\r\n\r\n", ok+"X-Shard: 3\r\n X-Shard: 4\r\n\r\n")
 }
--- a/acaciagateway/upload_test.go
+++ b/acaciagateway/upload_test.go
@@ -12,7 +12,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/acaciaroute/acaciaroute/acaciastandin"
 	acaciaplatform "github.com/acaciaroute/acaciaroute/platform"
 	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
@@ -33,7 +32,7 @@
 	uploadCount        = 6
 	uploadPart         = "id: 1\ndata: x1\n\n"
 	uploadRest         = "id: 2\ndata: x2\n\n"
-	uploadHead         = "HTTP/1.1 200 OK\r\n" + malformedFields
+	uploadHead         = "HTTP/1.1 200 OK\r\n" + sealedFields
 	uploadUnframed     = uploadHead + "\r\n" + uploadPart
 )
 
@@ -46,10 +45,7 @@
 	waitFor(t, func() bool { return b.gateway.configurationVersion() == 2 })
 	e := &uploadEndpoints{response: response, end: end}
 	for i := range 2 {
-		server, err := acaciastandin.StartRawServer(t.Context(), anyPort, uploadReceiveBytes, e.serve)
-		assert.NilError(t, err)
-		t.Cleanup(server.Close)
-		registerEndpoint(t, b.store, fmt.Sprint("i-", i), server.Address(), false)
+		registerEndpoint(t, b.store, fmt.Sprint("i-", i), startRawEndpoint(t, uploadReceiveBytes, e.serve), false)
 	}
 	waitFor(t, func() bool { return len(b.gateway.endpointIDs()) == 2 })
 	return b, e
@@ -86,15 +82,9 @@
 // A reset while an upload was being written was reported to the write alone, so that the answer, which had neither a length
 // nor chunks, seemed to have been ended in order by an endpoint that lived on. Its caller got a part as the whole answer.
 func TestResetDuringUploadIsNoEndOfAnAnswer(t *testing.T) {
-	routes := map[string]cutRoute{
-		"non-idempotent":   {"/unsafe/", "true", 1},
-		"idempotent":       {"/safe/", "true", 2},
-		"stream":           {"/stream/", "false", 1},
-		"resumable stream": {"/stream/", "true", 2},
-	}
 	// An endpoint that closes a connection with unread data, or to which data comes after that, resets it, too.
 	for endName, end := range connectionEnds {
-		for name, route := range routes {
+		for name, route := range cutRoutes {
 			t.Run(endName+"/"+name, func(t *testing.T) {
 				t.Parallel()
 				b, e := startUploadEndpoints(t, uploadUnframed, route.resumable, end)
--- a/acaciaresponse/transport_test.go
+++ b/acaciaresponse/transport_test.go
@@ -10,25 +10,18 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/acaciaroute/acaciaroute/acaciastandin"
 )
 
 // startRawServer starts a server that answers the first requests of each connection with sound responses, as many as
 // soundCount, and the next one with a text. It returns its URL.
 func startRawServer(t *testing.T, soundCount int, text string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := acaciastandin.StartRawServer(t.Context(), "127.0.0.1:0", 0, func(conn *net.TCPConn) { answerRaw(conn, soundCount, text) })
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerRaw(conn, soundCount, text)
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	t.Cleanup(server.Close)
+	return "http://" + server.Address()
 }
 
 func answerRaw(conn net.Conn, soundCount int, text string) {
--- a/acaciasystem/malformed_test.go
+++ b/acaciasystem/malformed_test.go
@@ -8,24 +8,17 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/acaciaroute/acaciaroute/acaciastandin"
 )
 
 // replaceEndpoint ends the process of a VM's endpoint and runs serve for each connection to its address.
 func (c *cluster) replaceEndpoint(n *node, serve func(*net.TCPConn)) {
 	c.t.Helper()
 	killProcess(c.t, n.endpointProcess)
-	listener, err := net.Listen("tcp", n.endpointAddr)
+	server, err := acaciastandin.StartRawServer(c.t.Context(), n.endpointAddr, 0, serve)
 	assert.NilError(c.t, err)
-	c.t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn.(*net.TCPConn))
-		}
-	}()
+	c.t.Cleanup(server.Close)
 }
 
 // checkEngineAnswerIsRefused checks that the answer of an agent's engine reaches no caller, who gets an error that doesn't
