--- a/acaciaupstream/pool.go
+++ b/acaciaupstream/pool.go
@@ -156,6 +156,7 @@
 		if c == nil {
 			break
 		}
+		// The check peeks at the operating system's connection, below that which checks responses.
 		if time.Now().Before(c.usableUntil) && checkIdle(c.Conn.Conn) == nil {
 			c.reused = true
 			return c, nil
