--- a/cmd/acaciaroute/gateway.go
+++ b/cmd/acaciaroute/gateway.go
@@ -61,8 +61,7 @@
 	defer flushLog(lines)
 	log := logr.FromSlogHandler(acacialog.NewHandler(lines, acacialog.Settings{}))
 	recorder := acaciaevent.NewRecorder(settings.Name, acaciaevent.NewClock(time.Now), log, gatewayEventCapacity)
-	transport := acaciaresponse.NewTransport(&http.Transport{DialContext: acaciaupstream.NewDialer().DialContext})
-	client := acaciaplatform.New(acaciaplatform.Settings{Store: settings.StoreURL}, transport)
+	client := newStoreClient(settings.StoreURL)
 	metrics := acaciagateway.NewMetrics(client)
 	gateway := acaciagateway.New(context.Background(), settings, client.Store(), recorder, metrics)
 	if err := gateway.Start(context.Background()); err != nil {
@@ -85,6 +84,12 @@
 	return err
 }
 
+// newStoreClient returns a client of the store at a URL.
+func newStoreClient(storeURL string) *acaciaplatform.Client {
+	transport := acaciaresponse.NewTransport(&http.Transport{DialContext: acaciaupstream.NewDialer().DialContext})
+	return acaciaplatform.New(acaciaplatform.Settings{Store: storeURL}, transport)
+}
+
 // completeSettings returns settings with the limits that the file leaves to the system, and sets the limit of the Go runtime.
 func completeSettings(settings acaciaplatform.ProcessSettings) acaciaplatform.ProcessSettings {
 	settings.MemoryBytes = acaciamemory.ProcessBytes(settings.MemoryBytes)
