Don't pass on a status that promises "not run" for a request that has run

What callers saw: a 503 of an endpoint that had run their request and failed after it. Callers take 408, 421, 429 and 503 for the promise that nothing has run, so that they sent requests again that must not run twice.

Cause: an endpoint says in a header whether it has run a request. The gateway followed that itself, but passed the status on as it came, also without the header.

Why this works: such a request gets 502 without the endpoint's signature, which promises nothing. Requests that may run again still get the endpoint's answer unchanged: to send them again does no harm.

--- a/acaciagateway/call.go
+++ b/acaciagateway/call.go
@@ -72,15 +72,8 @@
 	x.recordRun()
 	x.observeRolloutFirstByte()
 	x.gateway.loop.Post(func() { x.gateway.scheduler.RecordFirstByte(schedRequest, x.gateway.loop.Now()) })
-	if response.Status >= http.StatusInternalServerError && x.mayRunAgain() && x.takeRetryBudget() {
-		x.retryCharged = true
-		return outcomeFailed, acaciaschedule.FailureErrorResponse, fmt.Errorf("the endpoint answered %d", response.Status)
-	}
-	if x.headerSent && response.Status != http.StatusOK {
-		return outcomeFailed, acaciaschedule.FailureErrorResponse, fmt.Errorf("the endpoint answered %d to a resumed stream", response.Status)
-	}
-	if response.Status < http.StatusMultipleChoices && !metadata.Signed {
-		return outcomeFailed, acaciaschedule.FailureInvalidResponse, errors.New("the response carries no signature")
+	if failure, err := x.checkRelayable(response, metadata); err != nil {
+		return outcomeFailed, failure, err
 	}
 	if x.route.Kind == acaciasite.KindStream && response.Status == http.StatusOK {
 		return x.relayStream(ctx, response, schedRequest, wd)
@@ -88,6 +81,33 @@
 	return x.relayPlain(ctx, response, wd)
 }
 
+// checkRelayable returns an error, and the failure that it tells of, if the caller must not get a response: the
+// request runs again in its place, or it would be told something untrue.
+func (x *exchange) checkRelayable(response *acaciaupstream.Response, metadata acaciaplatform.ResponseInfo) (acaciaschedule.Failure, error) {
+	status := response.Status
+	switch {
+	case status >= http.StatusInternalServerError && x.mayRunAgain() && x.takeRetryBudget():
+		x.retryCharged = true
+		return acaciaschedule.FailureErrorResponse, fmt.Errorf("the endpoint answered %d", status)
+	case x.headerSent && status != http.StatusOK:
+		return acaciaschedule.FailureErrorResponse, fmt.Errorf("the endpoint answered %d to a resumed stream", status)
+	case status < http.StatusMultipleChoices && !metadata.Signed:
+		return acaciaschedule.FailureInvalidResponse, errors.New("the response carries no signature")
+	case promisesNotRun(status) && !x.route.Repeatable():
+		return plainFailure(response), fmt.Errorf("the endpoint answered %d, but may have run the request", status)
+	}
+	return 0, nil
+}
+
+// promisesNotRun reports whether callers take a status as the promise that their request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // observeLeaving records whether the endpoint has said that it is leaving.
 func (x *exchange) observeLeaving(response *acaciaupstream.Response, metadata acaciaplatform.ResponseInfo) {
 	if !metadata.Leaving {
