Look at all segments of a prompt that crashes endpoints, and keep what is known of them whole

Cause: a request had at most 32 traits, so that the deadly segment could not be named and what stood in front of it had to explain the crashes. Behind that stood a second bound: the table kept 256 records of a crash and a trait, and a message told 64 of them, so that other gateways knew a part of the traits only.

Why this works: all segments are traits, and a record holds those of one request, which are told, kept and dropped together. So nothing is suspect in place of what wasn't looked at. A prompt with more segments than a message holds is known by its content only.

Tests changed: the records' form in table_test.go, members_test.go and peak_test.go; TestProcessesDecideAlike repeats once for each step, as a second now repeats at least one whole record; TestTableIsBounded asks for the new bounds, also with 100 and 3,071 segments.

--- a/acaciacrash/answered.go
+++ b/acaciacrash/answered.go
@@ -7,8 +7,8 @@
 	recent, older map[Trait]bool
 }
 
-// maxRecentlyAnswered bounds each of the two sets.
-const maxRecentlyAnswered = 2048
+// maxRecentlyAnswered bounds each of the two sets; the longest prompts have some thousand segments.
+const maxRecentlyAnswered = 1 << 14
 
 func newAnsweredTraits() answeredTraits {
 	return answeredTraits{recent: map[Trait]bool{}, older: map[Trait]bool{}}
--- a/acaciacrash/ban.go
+++ b/acaciacrash/ban.go
@@ -7,7 +7,7 @@
 
 // Ban says that requests with certain traits are refused.
 type Ban struct {
-	// Traits explain the same crashes equally well. One of them is the cause; requests that
+	// Traits, in their order, explain the same crashes equally well. One of them is the cause; requests that
 	// don't have them all may run, and show which one.
 	Traits []Trait
 	// Crashes is the number of crashes that each of the traits explains.
@@ -32,12 +32,16 @@
 
 // applies reports whether a request with the given traits has all those of the ban.
 func (b *Ban) applies(traits []Trait) bool {
-	for _, trait := range b.Traits {
-		if !slices.Contains(traits, trait) {
-			return false
+	if len(b.Traits) > len(traits) {
+		return false
+	}
+	found := 0
+	for _, trait := range traits {
+		if _, banned := slices.BinarySearch(b.Traits, trait); banned {
+			found++
 		}
 	}
-	return true
+	return found == len(b.Traits)
 }
 
 // inForce reports whether the ban refuses all requests that it applies to.
--- a/acaciacrash/evidence_test.go
+++ b/acaciacrash/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -147,6 +148,14 @@
 	return len(m.crashSteps) >= crashesBeforeRefusal && step > m.crashSteps[crashesBeforeRefusal-1]+settleSteps
 }
 
+// lastCrash returns the step of the crash after which harmless requests must run again soon, 0 if there was none.
+func (m *mix) lastCrash() int {
+	if len(m.crashSteps) == 0 {
+		return 0
+	}
+	return m.crashSteps[min(len(m.crashSteps), crashesBeforeRefusal)-1]
+}
+
 // send sends a request at a process and reports whether it was accepted.
 func (m *mix) send(table *Table, step int, traits []Trait, crashes bool) bool {
 	now := epoch.Add(time.Duration(step) * stepTime)
@@ -205,11 +214,7 @@
 			if step >= deadlyFrom && step%deadlyEvery == 0 {
 				m.send(table, step, m.prompt(deadly, common, content+Trait(2*step)), true)
 			}
-			lastCrash := 0
-			if len(m.crashSteps) > 0 {
-				lastCrash = m.crashSteps[min(len(m.crashSteps), crashesBeforeRefusal)-1]
-			}
-			if step%soundEvery == 0 && !m.send(table, step, m.prompt(own+Trait(step%7), common, content+Trait(2*step+1)), false) && step > lastCrash+2*settleSteps {
+			if step%soundEvery == 0 && !m.send(table, step, m.prompt(own+Trait(step%7), common, content+Trait(2*step+1)), false) && step > m.lastCrash()+2*settleSteps {
 				refused++
 			}
 		}
@@ -217,3 +222,58 @@
 		assert.Assert(t, m.lateRuns <= maxLateRuns, "%d deadly requests ran late", m.lateRuns)
 	})
 }
+
+// longPrompt is how the prompts of a mix are made up.
+type longPrompt struct {
+	// commons is the number of segments that all prompts share, place the number of those in front of a deadly one.
+	commons, place int
+}
+
+// Traits of long prompts; each stands for a range that no other one reaches into.
+const (
+	longCommon  Trait = 1 << 20
+	longDeadly  Trait = 2 << 20
+	longOwn     Trait = 3 << 20
+	longContent Trait = 4 << 20
+)
+
+// traits returns the traits of a prompt with the segment special among the common ones.
+func (p longPrompt) traits(special, content Trait) []Trait {
+	var traits []Trait
+	for n := range p.commons {
+		traits = append(traits, longCommon+Trait(n))
+	}
+	return append(slices.Insert(traits, p.place, special), content)
+}
+
+// A deadly segment is refused wherever it stands, and what stands beside it isn't, however many segments the prompts
+// have, with one and several callers and processes. The 32nd segment and those behind it
+// were not looked at, and those in front of them were banned in their place.
+func TestDeadlySegmentOfLongPromptIsRefusedAndItsNeighboursAreNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prompt := longPrompt{commons: rapid.IntRange(1, 80).Draw(t, "common segments")}
+		prompt.place = rapid.IntRange(0, prompt.commons).Draw(t, "place")
+		m := &mix{observations: map[int][]func(time.Time){}}
+		for range rapid.IntRange(1, 5).Draw(t, "processes") {
+			table := NewTable(rapid.Float64Range(0, MaxJitter).Draw(t, "jitter"))
+			m.tables, m.outboxes = append(m.tables, table), append(m.outboxes, table.NewOutbox())
+		}
+		soundEvery, deadlyEvery := rapid.IntRange(5, 60).Draw(t, "sound every"), rapid.IntRange(2, 40).Draw(t, "deadly every")
+		callers := rapid.IntRange(1, 7).Draw(t, "callers")
+		const deadlyFrom = 100
+		refused := 0
+		for step := range 1200 {
+			m.step(step)
+			table := m.tables[rapid.IntRange(0, len(m.tables)-1).Draw(t, "process")]
+			if step >= deadlyFrom && step%deadlyEvery == 0 {
+				m.send(table, step, prompt.traits(longDeadly, longContent+Trait(2*step)), true)
+			}
+			sound := prompt.traits(longOwn+Trait(step%callers), longContent+Trait(2*step+1))
+			if step%soundEvery == 0 && !m.send(table, step, sound, false) && step > m.lastCrash()+2*settleSteps {
+				refused++
+			}
+		}
+		assert.Assert(t, refused == 0, "%d harmless requests were refused", refused)
+		assert.Assert(t, m.lateRuns <= maxLateRuns, "%d deadly requests ran late", m.lateRuns)
+	})
+}
--- a/acaciacrash/outbox.go
+++ b/acaciacrash/outbox.go
@@ -5,10 +5,10 @@
 // Outbox collects what a table has to tell a group of other processes that all get the same
 // messages. It is not safe for concurrent use.
 type Outbox struct {
-	table   *Table
-	pending []Record
-	// complete reports whether the next message holds the whole table.
-	complete bool
+	table *Table
+	// pending holds the records that wait to be told, queued the same as a set.
+	pending []recordKey
+	queued  map[recordKey]bool
 	// repeatedAt is when records were last repeated, nextRepeated the index of the next one.
 	repeatedAt   time.Time
 	nextRepeated int
@@ -16,36 +16,47 @@
 
 const (
 	// repeatInterval is the time between two messages that repeat records, because messages
-	// may be lost; repeatedRecords is how many they repeat, in turn.
-	repeatInterval  = time.Second
-	repeatedRecords = 8
+	// may be lost; repeatedTraits is how many traits they repeat at least, in turn.
+	repeatInterval = time.Second
+	repeatedTraits = 64
+	// messageTraits is the number of traits after which no further record is added to a message. The
+	// records of one with so many still fit into a datagram.
+	messageTraits = 512
 	// maxPending bounds the records that wait for the next message; others are told when their
 	// turn to be repeated comes.
-	maxPending = 64
+	maxPending = 4096
 )
 
-// NewOutbox returns an outbox that gets the records that the process adds or clears from now on.
+// NewOutbox returns an outbox that gets the records that the process adds or changes from now on.
 func (t *Table) NewOutbox() *Outbox {
-	outbox := &Outbox{table: t}
+	outbox := &Outbox{table: t, queued: map[recordKey]bool{}}
 	t.outboxes = append(t.outboxes, outbox)
 	return outbox
 }
 
-// SendAll makes the next message hold the whole table, because a process has joined that knows
+// SendAll makes the next messages hold the whole table, because a process has joined that knows
 // nothing of it.
 func (o *Outbox) SendAll() {
-	o.complete = true
+	for _, key := range o.table.keys() {
+		o.add(key)
+	}
 }
 
-// Next returns the records for the next message.
+// Next returns the records for the next message. A record is told whole or not at all: a part of a request's
+// traits would be suspect in place of all.
 func (o *Outbox) Next(now time.Time) []Record {
-	records := o.pending
-	o.pending = nil
-	switch {
-	case o.complete:
-		o.complete = false
-		return o.table.sorted()
-	case now.Sub(o.repeatedAt) >= repeatInterval:
+	var records []Record
+	traits, told := 0, 0
+	for ; told < len(o.pending) && traits < messageTraits; told++ {
+		key := o.pending[told]
+		delete(o.queued, key)
+		if record := o.table.record(key); record != nil {
+			records = append(records, *record)
+			traits += len(record.Traits)
+		}
+	}
+	o.pending = o.pending[told:]
+	if traits < messageTraits && now.Sub(o.repeatedAt) >= repeatInterval {
 		o.repeatedAt = now
 		records = append(records, o.repeat()...)
 	}
@@ -54,18 +65,20 @@
 
 // repeat returns the records whose turn it is to be repeated.
 func (o *Outbox) repeat() []Record {
-	all := o.table.sorted()
-	from := min(o.nextRepeated, len(all))
-	to := min(from+repeatedRecords, len(all))
-	o.nextRepeated = to
-	if to == len(all) {
-		o.nextRepeated = 0
+	var records []Record
+	all := o.table.keys()
+	for traits, n := 0, 0; traits < repeatedTraits && n < len(all); n++ {
+		record := o.table.record(all[o.nextRepeated%len(all)])
+		records = append(records, *record)
+		traits += len(record.Traits)
+		o.nextRepeated = (o.nextRepeated + 1) % len(all)
 	}
-	return all[from:to]
+	return records
 }
 
-func (o *Outbox) add(record Record) {
-	if len(o.pending) < maxPending {
-		o.pending = append(o.pending, record)
+func (o *Outbox) add(key recordKey) {
+	if !o.queued[key] && len(o.pending) < maxPending {
+		o.queued[key] = true
+		o.pending = append(o.pending, key)
 	}
 }
--- a/acaciacrash/suspect.go
+++ b/acaciacrash/suspect.go
@@ -22,6 +22,15 @@
 		crashes []uint64
 		last    time.Time
 	}
+
+	// evidence is a crash of a request with a trait.
+	evidence struct {
+		crash *endpointCrash
+		trait TraitRecord
+	}
+
+	// attemptSpan holds the first and the last of the attempts with a trait that ended in a crash.
+	attemptSpan struct{ first, last int }
 )
 
 // equivalent reports whether two suspects explain the same crashes, and nothing else tells them apart.
@@ -29,6 +38,38 @@
 	return s.weight.answered == other.weight.answered && slices.Equal(s.weight.crashes, other.weight.crashes)
 }
 
+// attemptSpans returns the attempts with all traits that crashes speak against.
+func attemptSpans(crashes []*endpointCrash) map[Trait]attemptSpan {
+	spans := map[Trait]attemptSpan{}
+	for _, c := range crashes {
+		for trait, record := range c.traits {
+			if record.Cleared {
+				continue
+			}
+			span, present := spans[trait]
+			if !present {
+				span = attemptSpan{record.Attempt, record.Attempt}
+			}
+			spans[trait] = attemptSpan{min(span.first, record.Attempt), max(span.last, record.Attempt)}
+		}
+	}
+	return spans
+}
+
+// evidenceByTrait returns what speaks against the traits that may be banned, those with several attempts, in the
+// order of the crashes.
+func evidenceByTrait(crashes []*endpointCrash, spans map[Trait]attemptSpan) map[Trait][]evidence {
+	byTrait := map[Trait][]evidence{}
+	for _, c := range crashes {
+		for trait, record := range c.traits {
+			if span := spans[trait]; !record.Cleared && span.first < span.last {
+				byTrait[trait] = append(byTrait[trait], evidence{c, record})
+			}
+		}
+	}
+	return byTrait
+}
+
 // likeliest returns the suspect that is most likely the cause, and those equivalent to it, in the order of
 // their traits. It returns none if nothing is enough against any.
 func likeliest(suspects []suspect) []suspect {
@@ -44,19 +85,19 @@
 	return suspects
 }
 
-// weigh returns the weight of the unexplained records of one trait.
-func weigh(records []Record, explained map[uint64]bool) weight {
+// weigh returns the weight of the evidence against one trait that is not explained.
+func weigh(all []evidence, explained map[uint64]bool) weight {
 	w := weight{}
 	attempts := map[int]bool{}
-	for _, record := range records {
-		w.answered = w.answered || record.Answered
-		if explained[record.Crash] {
+	for _, e := range all {
+		w.answered = w.answered || e.trait.Answered
+		if explained[e.crash.id] {
 			continue
 		}
-		attempts[record.Attempt] = true
-		w.crashes = append(w.crashes, record.Crash)
-		if record.ObservedAt.After(w.last) {
-			w.last = record.ObservedAt
+		attempts[e.trait.Attempt] = true
+		w.crashes = append(w.crashes, e.crash.id)
+		if e.crash.observedAt.After(w.last) {
+			w.last = e.crash.observedAt
 		}
 	}
 	w.attempts = len(attempts)
--- a/acaciacrash/table.go
+++ b/acaciacrash/table.go
@@ -7,48 +7,49 @@
 )
 
 type (
-	// Table holds what is known of crashes and the bans that follow from it. It is not safe
-	// for concurrent use.
+	// Table holds what is known of crashes and the bans that follow from it. The traits of a request that are given to it are
+	// distinct, and the last one is the content. It is not safe for concurrent use.
 	Table struct {
 		// jitter is the share by which this process prolongs bans.
 		jitter  float64
-		records map[recordKey]Record
-		bans    []*Ban
+		crashes map[uint64]*endpointCrash
+		// attempts holds the traits that crashes speak against.
+		attempts map[Trait]attemptSpan
+		bans     []*Ban
 		// answered holds the segments that this process knows endpoints have answered.
 		answered answeredTraits
-		// outboxes get the records that this process adds or clears itself.
+		// outboxes get the records that this process adds or changes itself.
 		outboxes []*Outbox
 	}
 )
 
 const (
+	// MaxTraits is the most traits that a request may have. Its record still fits into a message.
+	MaxTraits = 3 << 10
 	// MaxJitter is the most by which a process should prolong bans, as a share.
 	MaxJitter = 0.5
 
 	// minCrashes is the number of attempts ended by a crash that ban a trait.
 	minCrashes = 2
-	// recordLifetime is how long records are kept, maxRecords how many; the oldest are dropped.
-	recordLifetime = 2 * maxBan
-	maxRecords     = 256
+	// crashLifetime is how long crashes are kept, maxCrashes how many, and maxTraitRecords how many traits they may hold:
+	// the oldest crashes are dropped, each whole, because a part of its traits would be suspect in place of all.
+	crashLifetime   = 2 * maxBan
+	maxCrashes      = 128
+	maxTraitRecords = 1 << 16
 )
 
 // NewTable returns an empty table. Bans last longer by a share of jitter, which should differ
 // between processes, so that they do not all try a banned trait again at the same time.
 func NewTable(jitter float64) *Table {
-	return &Table{jitter: jitter, records: map[recordKey]Record{}, answered: newAnsweredTraits()}
+	return &Table{jitter: jitter, crashes: map[uint64]*endpointCrash{}, answered: newAnsweredTraits()}
 }
 
 // Attempts returns the number of the attempt, for each of the traits, that a request makes when
 // it is sent now.
 func (t *Table) Attempts(traits []Trait) []int {
 	attempts := make([]int, len(traits))
-	for i := range attempts {
-		attempts[i] = 1
-	}
-	for _, record := range t.records {
-		if i := slices.Index(traits, record.Trait); i >= 0 && !record.Cleared {
-			attempts[i] = max(attempts[i], record.Attempt+1)
-		}
+	for i, trait := range traits {
+		attempts[i] = t.attempts[trait].last + 1
 	}
 	return attempts
 }
@@ -56,40 +57,38 @@
 // Suspects reports whether a request with one of the traits crashed an endpoint and none has been
 // answered since.
 func (t *Table) Suspects(traits []Trait) bool {
-	for _, record := range t.records {
-		if !record.Cleared && slices.Contains(traits, record.Trait) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(traits, func(trait Trait) bool {
+		_, suspected := t.attempts[trait]
+		return suspected
+	})
 }
 
 // RecordCrash records that a request with the traits ran unproven on an endpoint that crashed.
 // attempts is what Attempts returned for them when the request was sent.
 func (t *Table) RecordCrash(crash uint64, traits []Trait, attempts []int, now time.Time) {
+	record := Record{Crash: crash, ObservedAt: now}
 	for i, trait := range traits {
-		t.publish(Record{Crash: crash, Trait: trait, Attempt: attempts[i], ObservedAt: now, Answered: t.answered.contains(trait)})
+		record.Traits = append(record.Traits, TraitRecord{Trait: trait, Attempt: attempts[i], Answered: t.answered.contains(trait)})
+	}
+	if t.add(record) {
+		t.tell(recordKey{crash, record.content()})
 	}
 	t.decide(now)
 }
 
-// RecordAnswer records that an endpoint has survived to answer a request with the traits, the last of
-// which is its content. That clears them of all crashes so far.
+// RecordAnswer records that an endpoint has survived to answer a request with the traits. That clears them
+// of all crashes so far.
 func (t *Table) RecordAnswer(traits []Trait, now time.Time) {
 	for _, segment := range traits[:max(len(traits)-1, 0)] {
 		t.answered.add(segment)
 	}
-	changed := false
-	for _, record := range t.records {
-		if !record.Cleared && slices.Contains(traits, record.Trait) {
-			record.Cleared = true
-			t.publish(record)
-			changed = true
-		}
+	if !t.Suspects(traits) {
+		return
 	}
-	if changed {
-		t.decide(now)
+	for _, c := range t.crashes {
+		t.tell(c.update(traits, func(record *TraitRecord) { record.Cleared = true })...)
 	}
+	t.decide(now)
 }
 
 // Merge applies the records of another process and reports whether they tell anything new. If this
@@ -97,11 +96,13 @@
 func (t *Table) Merge(records []Record, now time.Time) bool {
 	changed := false
 	for _, record := range records {
-		changed = t.add(record) || changed
-		if !record.Answered && t.answered.contains(record.Trait) {
-			record.Answered = true
-			t.publish(record)
+		if len(record.Traits) == 0 {
+			continue
 		}
+		changed = t.add(record) || changed
+		answered := t.crashes[record.Crash].update(t.answeredOf(record), func(told *TraitRecord) { told.Answered = true })
+		changed = changed || len(answered) > 0
+		t.tell(answered...)
 	}
 	if changed {
 		t.decide(now)
@@ -109,6 +110,17 @@
 	return changed
 }
 
+// answeredOf returns the traits of a record that this process, unlike the sender, knows to have been answered.
+func (t *Table) answeredOf(record Record) []Trait {
+	var traits []Trait
+	for _, told := range record.Traits {
+		if !told.Answered && t.answered.contains(told.Trait) {
+			traits = append(traits, told.Trait)
+		}
+	}
+	return traits
+}
+
 // Refusal returns the ban for which a request with the traits is refused now; nil if it may
 // run. Of requests with a trait whose ban has ended, one may run in each trialInterval; a nil
 // result counts as that one.
@@ -155,22 +167,19 @@
 	return bans
 }
 
-// decide derives the bans from the records: as few traits as explain the crashes. What a
+// decide derives the bans from the crashes: as few traits as explain them. What a
 // trait explains does not count against the traits that were there, too.
 func (t *Table) decide(now time.Time) {
 	t.removeOld(now)
-	byTrait := map[Trait][]Record{}
-	for _, record := range t.records {
-		if !record.Cleared {
-			byTrait[record.Trait] = append(byTrait[record.Trait], record)
-		}
-	}
+	crashes := t.sorted()
+	t.attempts = attemptSpans(crashes)
+	byTrait := evidenceByTrait(crashes, t.attempts)
 	explained := map[uint64]bool{}
 	var bans []*Ban
 	for {
 		suspects := make([]suspect, 0, len(byTrait))
-		for trait, records := range byTrait {
-			suspects = append(suspects, suspect{trait, weigh(records, explained)})
+		for trait, all := range byTrait {
+			suspects = append(suspects, suspect{trait, weigh(all, explained)})
 		}
 		suspects = likeliest(suspects)
 		if len(suspects) == 0 {
@@ -197,43 +206,64 @@
 	return time.Time{}
 }
 
-// add adds a record, or what it tells of a known one, and reports whether that is new.
+// add adds what a record tells, and reports whether that is new.
 func (t *Table) add(record Record) bool {
-	known, present := t.records[record.key()]
-	if !present {
-		t.records[record.key()] = record
-		return true
+	c := t.crashes[record.Crash]
+	if c == nil {
+		c = newEndpointCrash(record.Crash, record.ObservedAt)
+		t.crashes[record.Crash] = c
 	}
-	changed := known.merge(record)
-	t.records[record.key()] = known
-	return changed
+	return c.merge(record)
 }
 
-// publish adds a record and, if it is new, tells the other processes.
-func (t *Table) publish(record Record) {
-	if !t.add(record) {
-		return
-	}
+// tell tells the other processes of records.
+func (t *Table) tell(keys ...recordKey) {
 	for _, outbox := range t.outboxes {
-		outbox.add(t.records[record.key()])
+		for _, key := range keys {
+			outbox.add(key)
+		}
 	}
 }
 
-// removeOld drops the records that are too old, and the oldest ones beyond the bound.
+// removeOld drops the crashes that are too old, and the oldest ones beyond the bound but for the newest.
 func (t *Table) removeOld(now time.Time) {
-	oldest := now.Add(-recordLifetime)
-	maps.DeleteFunc(t.records, func(_ recordKey, record Record) bool { return record.ObservedAt.Before(oldest) })
-	if len(t.records) <= maxRecords {
-		return
+	oldest := now.Add(-crashLifetime)
+	maps.DeleteFunc(t.crashes, func(_ uint64, c *endpointCrash) bool { return c.observedAt.Before(oldest) })
+	size := 0
+	for _, c := range t.crashes {
+		size += c.size()
+	}
+	for _, c := range t.sorted() {
+		within := len(t.crashes) <= maxCrashes && size <= maxTraitRecords
+		if within || len(t.crashes) == 1 {
+			return
+		}
+		delete(t.crashes, c.id)
+		size -= c.size()
 	}
-	for _, record := range t.sorted()[:len(t.records)-maxRecords] {
-		delete(t.records, record.key())
+}
+
+// sorted returns all crashes by the time at which they were observed.
+func (t *Table) sorted() []*endpointCrash {
+	crashes := slices.Collect(maps.Values(t.crashes))
+	sortByObservation(crashes)
+	return crashes
+}
+
+// keys returns the keys of all records, by the time of the crash.
+func (t *Table) keys() []recordKey {
+	var keys []recordKey
+	for _, c := range t.sorted() {
+		keys = append(keys, c.keys()...)
 	}
+	return keys
 }
 
-// sorted returns all records by the time of the crash.
-func (t *Table) sorted() []Record {
-	records := slices.Collect(maps.Values(t.records))
-	sortByObservation(records)
-	return records
+// record returns a record, nil if it has been dropped.
+func (t *Table) record(key recordKey) *Record {
+	c := t.crashes[key.crash]
+	if c == nil {
+		return nil
+	}
+	return c.record(key.content)
 }
--- a/acaciacrash/table_test.go
+++ b/acaciacrash/table_test.go
@@ -1,6 +1,7 @@
 package acaciacrash
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,7 +107,7 @@
 	table.RecordAnswer([]Trait{first, content + 1}, at(200))
 	crash(table, 2, at(400), first, content+2)
 	assert.Check(t, !refuses(table, at(400), first, content+3))
-	table.Merge([]Record{{Crash: 1, Trait: first, Attempt: 1, ObservedAt: at(100)}}, at(500))
+	table.Merge([]Record{{Crash: 1, ObservedAt: at(100), Traits: []TraitRecord{{Trait: first, Attempt: 1}}}}, at(500))
 	assert.Check(t, !refuses(table, at(500), first, content+3))
 	crash(table, 3, at(700), first, content+4)
 	assert.Check(t, refuses(table, at(700), first, content+5))
@@ -135,6 +136,7 @@
 // All processes must decide alike, whatever they observe themselves and whichever messages are
 // lost, once the table has been repeated.
 func TestProcessesDecideAlike(t *testing.T) {
+	const maxSteps = 25
 	rapid.Check(t, func(t *rapid.T) {
 		tables := []*Table{NewTable(0), NewTable(0), NewTable(0)}
 		outboxes := make([]*Outbox, len(tables))
@@ -153,7 +155,7 @@
 				}
 			}
 		}
-		for step := range rapid.IntRange(1, 25).Draw(t, "steps") {
+		for step := range rapid.IntRange(1, maxSteps).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 			table := tables[rapid.IntRange(0, len(tables)-1).Draw(t, "process")]
 			traits := []Trait{Trait(rapid.IntRange(1, 3).Draw(t, "segment")), content + Trait(step)}
@@ -164,7 +166,8 @@
 			}
 			deliver(true)
 		}
-		for range maxRecords / repeatedRecords {
+		// At least one record is repeated each time.
+		for range maxSteps {
 			now = now.Add(repeatInterval)
 			deliver(false)
 		}
@@ -182,18 +185,49 @@
 	return traits
 }
 
-// The table and its messages stay small however many requests crash endpoints.
+// The table and its messages stay small however many requests crash endpoints, and however many traits they have.
 func TestTableIsBounded(t *testing.T) {
+	for segments, crashes := range map[int]int{1: 2 * maxCrashes, 100: 2 * maxCrashes, MaxTraits - 1: 2 * maxTraitRecords / MaxTraits} {
+		table := NewTable(0)
+		outbox := table.NewOutbox()
+		for n := range crashes {
+			crash(table, uint64(n), at(100*n), wideTraits(segments, content+Trait(n))...)
+			table.RecordAnswer([]Trait{first}, at(100*n+60))
+		}
+		assert.Check(t, len(table.crashes) <= maxCrashes)
+		assert.Check(t, len(table.crashes) > 1)
+		held, told := 0, 0
+		for _, c := range table.crashes {
+			held += c.size()
+		}
+		assert.Check(t, held <= maxTraitRecords, "%d segments", segments)
+		for _, record := range outbox.Next(at(0)) {
+			told += len(record.Traits)
+		}
+		assert.Check(t, told < messageTraits+MaxTraits, "%d segments", segments)
+		table.removeOld(at(0).Add(24 * time.Hour))
+		assert.Equal(t, len(table.crashes), 0)
+	}
+}
+
+// What waits to be told stays bounded in a group without processes, which takes no messages.
+func TestOutboxWithoutReceiverIsBounded(t *testing.T) {
 	table := NewTable(0)
 	outbox := table.NewOutbox()
-	for n := range 1000 {
-		crash(table, uint64(n), at(100*n), first, content+Trait(n))
-		table.RecordAnswer([]Trait{first}, at(100*n+60))
+	for n := range 2 * maxPending {
+		table.tell(recordKey{uint64(n), content})
+	}
+	assert.Equal(t, len(outbox.pending), maxPending)
+	assert.Equal(t, len(outbox.queued), maxPending)
+}
+
+// wideTraits returns the traits of a request with many segments, from first on.
+func wideTraits(segments int, content Trait) []Trait {
+	traits := make([]Trait, 0, segments+1)
+	for n := range segments {
+		traits = append(traits, first+Trait(n)<<32)
 	}
-	assert.Check(t, len(table.records) <= maxRecords)
-	assert.Check(t, len(outbox.Next(at(0))) <= maxPending+repeatedRecords)
-	table.removeOld(at(0).Add(24 * time.Hour))
-	assert.Equal(t, len(table.records), 0)
+	return append(traits, content)
 }
 
 // After a ban has ended, one request may run as a trial. A question whether a request would be refused must not take the
@@ -212,3 +246,38 @@
 	assert.Assert(t, table.WouldRefuse(traits, ended) != nil)
 	assert.Assert(t, table.Refusal(traits, ended) != nil)
 }
+
+// BenchmarkTable measures what a request costs while crashes of requests with as many segments speak against all of them,
+// and what one more crash costs.
+func BenchmarkTable(b *testing.B) {
+	const crashes = 20
+	for _, segments := range []int{4, 37, MaxTraits - 1} {
+		newTable := func() *Table {
+			table := NewTable(0)
+			for n := range crashes {
+				crash(table, uint64(n), at(n), wideTraits(segments, content+Trait(n))...)
+			}
+			return table
+		}
+		traits := wideTraits(segments, content+crashes)
+		b.Run(fmt.Sprint(segments, " segments, request"), func(b *testing.B) {
+			table := newTable()
+			for b.Loop() {
+				table.Attempts(traits)
+				table.Refusal(traits, at(crashes))
+			}
+		})
+		b.Run(fmt.Sprint(segments, " segments, answer without a crash before"), func(b *testing.B) {
+			table := NewTable(0)
+			for b.Loop() {
+				table.RecordAnswer(traits, at(crashes))
+			}
+		})
+		b.Run(fmt.Sprint(segments, " segments, crash"), func(b *testing.B) {
+			table := newTable()
+			for n := 0; b.Loop(); n++ {
+				crash(table, uint64(crashes+n%2), at(crashes), traits...)
+			}
+		})
+	}
+}
--- a/acaciagateway/crash.go
+++ b/acaciagateway/crash.go
@@ -29,35 +29,58 @@
 	// provenEvents is the number of events of a stream after which the endpoint has survived
 	// the beginning of the answer.
 	provenEvents = 2
-	// maxTraits bounds the traits of a request; its content is always one of them.
-	maxTraits = 32
+	// maxNamedSegments is the most segments that a refusal names.
+	maxNamedSegments = 8
 )
 
 var errBanned = errors.New("endpoints crashed while running requests like this one")
 
 // requestTraits returns the traits by which a request that crashes endpoints is recognised: the
-// segments of its prompt, in order and without the last, which no other request shares, and then
-// its content.
+// segments of its prompt, each once and without the last, which no other request shares, and then
+// its content. A prompt with too many segments is recognised by its content only: any of them may be the one
+// that crashes endpoints, and those that weren't looked at couldn't be told from the others.
 func requestTraits(metadata *acaciasite.Request, method, target, organisation string, body []byte) []acaciacrash.Trait {
-	var traits []acaciacrash.Trait
 	content := xxhash.New()
-	writeText(content, method, target, organisation)
-	for i, segment := range metadata.PromptSegments {
-		id := binary.BigEndian.AppendUint64(nil, segment.ID)
+	writeText(content, metadata.Model, method, target, organisation)
+	for _, segment := range metadata.PromptSegments {
 		// Writes to a hash never fail.
-		_, _ = content.Write(id)
-		if i == len(metadata.PromptSegments)-1 || len(traits) == maxTraits-1 {
-			continue
-		}
-		shared := xxhash.New()
-		writeText(shared, metadata.Model)
-		_, _ = shared.Write(id)
-		traits = append(traits, acaciacrash.Trait(shared.Sum64()))
+		_, _ = content.Write(binary.BigEndian.AppendUint64(nil, segment.ID))
 	}
 	_, _ = content.Write(body)
+	traits := segmentTraits(metadata)
+	if len(traits) >= acaciacrash.MaxTraits {
+		traits = nil
+	}
 	return append(traits, acaciacrash.Trait(content.Sum64()))
 }
 
+// segmentTraits returns the traits of the segments of a prompt but the last, each once.
+func segmentTraits(metadata *acaciasite.Request) []acaciacrash.Trait {
+	last := len(metadata.PromptSegments) - 1
+	if last < 1 {
+		return nil
+	}
+	model := xxhash.Sum64String(metadata.Model)
+	traits := make([]acaciacrash.Trait, 0, last+1)
+	known := make(map[acaciacrash.Trait]bool, last)
+	for _, segment := range metadata.PromptSegments[:last] {
+		trait := segmentTrait(model, segment.ID)
+		if !known[trait] {
+			known[trait] = true
+			traits = append(traits, trait)
+		}
+	}
+	return traits
+}
+
+// segmentTrait returns the trait of a segment of a prompt for a model, which is given by its hash.
+func segmentTrait(model, segmentID uint64) acaciacrash.Trait {
+	var text [16]byte
+	binary.BigEndian.PutUint64(text[:8], model)
+	binary.BigEndian.PutUint64(text[8:], segmentID)
+	return acaciacrash.Trait(xxhash.Sum64(text[:]))
+}
+
 // writeText writes texts to a hash so that their boundaries count.
 func writeText(hash *xxhash.Digest, texts ...string) {
 	for _, text := range texts {
@@ -77,13 +100,9 @@
 // banError returns the error for a request that a ban refuses.
 func (x *exchange) banError(ban *acaciacrash.Ban, now time.Time) error {
 	what := "this content"
-	var segments []string
-	for i, name := range x.segmentNames() {
-		if i < len(x.traits)-1 && slices.Contains(ban.Traits, x.traits[i]) {
-			segments = append(segments, name)
-		}
-	}
-	if len(segments) > 0 {
+	if segments := x.bannedSegments(ban); len(segments) > maxNamedSegments {
+		what = fmt.Sprintf("prompts with segment %s and %d more", strings.Join(segments[:maxNamedSegments], " and "), len(segments)-maxNamedSegments)
+	} else if len(segments) > 0 {
 		what = "prompts with segment " + strings.Join(segments, " and ")
 	}
 	return &acaciaroute.Error{
@@ -93,6 +112,20 @@
 	}
 }
 
+// bannedSegments returns the names of those segments of the prompt, but for the last, that a ban names.
+func (x *exchange) bannedSegments(ban *acaciacrash.Ban) []string {
+	var names []string
+	model := xxhash.Sum64String(x.metadata.Model)
+	for i, name := range x.segmentNames() {
+		isLast := i == len(x.metadata.PromptSegments)-1
+		_, banned := slices.BinarySearch(ban.Traits, segmentTrait(model, x.metadata.PromptSegments[i].ID))
+		if banned && !isLast {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // beginCall registers the call that the request is about to make, so that it can be cancelled
 // when one of its traits is banned.
 func (x *exchange) beginCall(cancel context.CancelCauseFunc) {
--- a/acaciagateway/crash_test.go
+++ b/acaciagateway/crash_test.go
@@ -15,6 +15,8 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"github.com/acaciaroute/acaciaroute/acaciacrash"
+	"github.com/acaciaroute/acaciaroute/acaciasite"
 	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
 
@@ -96,6 +98,65 @@
 	assert.Equal(t, e.crashes.Load(), crashes)
 }
 
+// longPrompt returns a prompt of segments that other prompts share, one that may be among them, and one of its own.
+func longPrompt(shared, place int, special string, own int) string {
+	const firstShared = 0x100
+	segments := make([]string, 0, shared+2)
+	for i := range shared {
+		if i == place {
+			segments = append(segments, special)
+		}
+		segments = append(segments, fmt.Sprintf("%x", firstShared+i))
+	}
+	if place == shared {
+		segments = append(segments, special)
+	}
+	return strings.Join(append(segments, fmt.Sprintf("%x", firstShared+shared+own)), ":1,") + ":1"
+}
+
+// Guards against banning the segments that harmless requests share in place of the one that crashes endpoints, where
+// prompts have many: only the first 31 were looked at. The longest header holds some 2,600.
+func TestCrashingSegmentIsFoundInLongPrompts(t *testing.T) {
+	const endpoints, maxCrashed, answeredBefore, answeredAfter, maxTries = 8, 5, 4, 10, 50
+	for _, shared := range []int{31, 36, 300, 2500} {
+		for _, place := range []int{0, shared / 2, shared} {
+			t.Run(fmt.Sprintf("%d of %d", place+1, shared+2), func(t *testing.T) {
+				b := newTestbed(t)
+				other, otherURL := startGateway(t, b.gateway.settings.StoreURL, "g-2", []string{b.gateway.settings.PeerAddress})
+				var e crashingEndpoints
+				e.add(b, endpoints, hasCrashingSegment)
+				waitFor(t, func() bool {
+					return len(b.gateway.endpointIDs()) == endpoints && len(other.endpointIDs()) == endpoints
+				})
+				urls, number := []string{b.url, otherURL}, 0
+				send := func(special string) testResponse {
+					number++
+					return promptRequest(t, urls[number%len(urls)], fmt.Sprint("r-", number), longPrompt(shared, place, special, number))
+				}
+				for range answeredBefore {
+					assert.Equal(t, send("1").status, http.StatusOK)
+				}
+				// Each gateway refuses it in the end.
+				for refused, tries := 0, 0; refused < len(urls); tries++ {
+					refused++
+					r := send(crashingSegment)
+					if !strings.Contains(r.body, "prompts with segment "+crashingSegment) {
+						refused = 0
+					}
+					assert.Assert(t, tries < maxTries, r.body)
+				}
+				crashes := e.crashes.Load()
+				assert.Check(t, crashes <= maxCrashed, "%d endpoints crashed", crashes)
+				for range answeredAfter {
+					assert.Equal(t, send("1").status, http.StatusOK)
+					assert.Equal(t, send(crashingSegment).status, http.StatusServiceUnavailable)
+				}
+				assert.Equal(t, e.crashes.Load(), crashes)
+			})
+		}
+	}
+}
+
 // Each endpoint that runs the content crashes, and the caller sends it again and again. The
 // gateway must refuse the content after the second crash.
 func TestContentThatCrashesEndpointsIsRefused(t *testing.T) {
@@ -259,3 +320,29 @@
 	})
 	assert.Equal(t, (<-waiting).status, http.StatusServiceUnavailable)
 }
+
+// A prompt may have more segments than are looked at. None of them must be banned then: any other one may be the cause.
+func TestPromptWithTooManySegmentsHasNoSegmentTraits(t *testing.T) {
+	metadata := &acaciasite.Request{PromptSegments: make([]acaciasite.PromptSegment, acaciacrash.MaxTraits)}
+	for i := range metadata.PromptSegments {
+		metadata.PromptSegments[i].ID = uint64(i)
+	}
+	assert.Equal(t, len(requestTraits(metadata, "", "", "", nil)), acaciacrash.MaxTraits)
+	metadata.PromptSegments = append(metadata.PromptSegments, acaciasite.PromptSegment{ID: acaciacrash.MaxTraits})
+	assert.Equal(t, len(requestTraits(metadata, "", "", "", nil)), 1)
+}
+
+// BenchmarkRequestTraits measures what the traits of a request cost.
+func BenchmarkRequestTraits(b *testing.B) {
+	for _, segments := range []int{5, 38, 2500} {
+		b.Run(fmt.Sprint(segments, " segments"), func(b *testing.B) {
+			metadata := &acaciasite.Request{Model: "m", PromptSegments: make([]acaciasite.PromptSegment, segments)}
+			for i := range metadata.PromptSegments {
+				metadata.PromptSegments[i].ID = uint64(i)
+			}
+			for b.Loop() {
+				requestTraits(metadata, http.MethodPost, "/", "", nil)
+			}
+		})
+	}
+}
--- a/acaciagateway/peak_test.go
+++ b/acaciagateway/peak_test.go
@@ -128,7 +128,7 @@
 	results := make(chan waitResult, 1)
 	request := &acaciaschedule.Request{ID: "r", Service: "m", Arrived: now, Objective: now.Add(time.Minute), Deadline: now.Add(time.Hour)}
 	endpoint, running := acaciaschedule.KeyOf("e"), acaciaschedule.EndpointLoad{Running: 9}
-	record := acaciacrash.Record{Crash: 7, Trait: 8, Attempt: 1, ObservedAt: now}
+	record := acaciacrash.Record{Crash: 7, ObservedAt: now, Traits: []acaciacrash.TraitRecord{{Trait: 8, Attempt: 1}}}
 	g.loop.Do(func() {
 		g.quota = newClubQuota(now)
 		g.scheduler.ApplyEndpointChange(acaciasite.EndpointChange{ID: "e", Endpoint: &acaciasite.Endpoint{ID: "e", Service: "m", DataCentre: "a", Slots: 1, StartedAt: now}})
@@ -150,7 +150,7 @@
 	result := <-results
 	assert.Equal(t, result.decision.Endpoint.ID, "e", "the newest state has no load")
 	g.loop.Do(func() {
-		assert.Check(t, g.crashes.Suspects([]acaciacrash.Trait{record.Trait}), "the crash is known")
+		assert.Check(t, g.crashes.Suspects([]acaciacrash.Trait{record.Traits[0].Trait}), "the crash is known")
 		ok, _ := g.quota.Take(acaciabudget.Charge{Organisation: "club", Cost: 701}, now)
 		assert.Check(t, !ok, "300 of 1,000 are used")
 	})
--- a/acaciapeer/members_test.go
+++ b/acaciapeer/members_test.go
@@ -123,7 +123,10 @@
 			Streams:  []acaciaorigin.Stream{{Key: 1 << 63, Origin: acaciasite.Origin{Service: "m", Version: "v2"}}},
 		},
 		Crashes: []acaciacrash.Record{
-			{Crash: 1 << 63, Trait: 2, Attempt: 4, ObservedAt: now.Add(-time.Millisecond), Cleared: true, Answered: true},
+			{Crash: 1 << 63, ObservedAt: now.Add(-time.Millisecond), Traits: []acaciacrash.TraitRecord{
+				{Trait: 2, Attempt: 4, Cleared: true}, {Trait: 1 << 63, Attempt: 1, Answered: true},
+			}},
+			{Crash: 3, ObservedAt: now, Traits: []acaciacrash.TraitRecord{{Trait: 4, Attempt: 1}}},
 		},
 	}
 	data, err := message.Encode(now)
--- a/acaciapeer/message.go
+++ b/acaciapeer/message.go
@@ -56,10 +56,7 @@
 		Rollouts: encodeRollouts(m.Rollouts),
 	}
 	for _, record := range m.Crashes {
-		wire.CrashRecords = append(wire.CrashRecords, &acaciawire.CrashRecord{
-			Crash: record.Crash, Trait: uint64(record.Trait),
-			Attempt: encodeCount(record.Attempt), ObservedMsAgo: encodeAge(record.ObservedAt, now), Cleared: record.Cleared, Answered: record.Answered,
-		})
+		wire.CrashRecords = append(wire.CrashRecords, encodeCrash(record, now))
 	}
 	for key, load := range m.Loads {
 		wire.LoadEndpoints = append(wire.LoadEndpoints, uint32(key))
@@ -229,13 +226,6 @@
 	return sent
 }
 
-func decodeCrash(record *acaciawire.CrashRecord, now time.Time) acaciacrash.Record {
-	return acaciacrash.Record{
-		Crash: record.Crash, Trait: acaciacrash.Trait(record.Trait),
-		Attempt: int(record.Attempt), ObservedAt: decodeAge(record.ObservedMsAgo, now), Cleared: record.Cleared, Answered: record.Answered,
-	}
-}
-
 // encodeCount returns a count as it is sent; a larger one than fits counts as the largest.
 func encodeCount(count int) uint32 {
 	return uint32(min(max(count, 0), math.MaxUint32))
--- a/acaciapoison/verdict_test.go
+++ b/acaciapoison/verdict_test.go
@@ -54,3 +54,13 @@
 	}
 	assert.Equal(t, len(table.crashes.Bans()), 0)
 }
+
+// What crashes an engine may stand between two of the lengths at which beginnings of prompts are hashed. The beginning
+// in front of it must not be refused: harmless prompts share it.
+func TestBeginningOfHarmlessPromptsIsNotRefused(t *testing.T) {
+	const first, second = 1, 2
+	table, now := newVerdictTable(), time.Now()
+	applyCrash(t, table, now, "a", first, second, 30)
+	applyCrash(t, table, now.Add(time.Millisecond), "b", first, second, 31)
+	assert.Check(t, table.crashes.Refusal(Traits([]uint64{first, second, 40}, "harmless"), now) == nil)
+}
