Ban briefly what had been answered before the crashes

What callers saw: with two segments that crash endpoints beside one that all prompts of a caller share, all requests of that caller could be refused (503, 2011) for 30 s and longer, harmless ones included.

Cause: if the first two crashes have one cause each, neither is suspect yet, but the shared segment is, with two attempts, and was banned for 30 s. Requests with it didn't run then, so that no answer could clear it and no third crash could convict the two.

Evidence: TestDeadlySegmentOfLongPromptIsRefusedAndItsNeighboursAreNot draws one or two deadly segments now.

Why this works: such a trait is banned for 1 s at first, and for twice as long after each further crash. A request that runs then either is answered, which clears the shared segment, or crashes an endpoint a second time with one of the two, which bans that one in its place. If the shared segment is the cause after all, five more crashes make the ban last for 32 s.

--- a/acaciacrash/ban.go
+++ b/acaciacrash/ban.go
@@ -21,9 +21,11 @@
 
 const (
 	// initialBan is the duration of the first ban of a trait; it doubles with each further
-	// crash, up to maxBan.
-	initialBan = 30 * time.Second
-	maxBan     = time.Hour
+	// crash, up to maxBan. It is initialAnsweredBan if requests with the trait had been answered: several other causes may
+	// have crashed an endpoint each, and while the trait is banned nothing can show that.
+	initialBan         = 30 * time.Second
+	initialAnsweredBan = time.Second
+	maxBan             = time.Hour
 	// maxBanDoublings keeps the duration within its type.
 	maxBanDoublings = 16
 	// trialInterval is the time between two requests with a trait whose ban has ended.
@@ -57,7 +59,11 @@
 // newBan returns the ban of equivalent suspects; jitter prolongs it by a share.
 func newBan(suspects []suspect, jitter float64) *Ban {
 	w := suspects[0].weight
-	duration := min(initialBan<<min(w.attempts-minCrashes, maxBanDoublings), maxBan)
+	initial := initialBan
+	if w.answered {
+		initial = initialAnsweredBan
+	}
+	duration := min(initial<<min(w.attempts-minCrashes, maxBanDoublings), maxBan)
 	ban := &Ban{Crashes: len(w.crashes), Until: w.last.Add(duration + time.Duration(jitter*float64(duration)))}
 	for _, s := range suspects {
 		ban.Traits = append(ban.Traits, s.trait)
--- a/acaciacrash/evidence_test.go
+++ b/acaciacrash/evidence_test.go
@@ -247,7 +247,7 @@
 }
 
 // A deadly segment is refused wherever it stands, and what stands beside it isn't, however many segments the prompts
-// have, with one and several callers and processes. The 32nd segment and those behind it
+// have, with one and two deadly segments, and with one and several callers and processes. The 32nd segment and those behind it
 // were not looked at, and those in front of them were banned in their place.
 func TestDeadlySegmentOfLongPromptIsRefusedAndItsNeighboursAreNot(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -259,14 +259,15 @@
 			m.tables, m.outboxes = append(m.tables, table), append(m.outboxes, table.NewOutbox())
 		}
 		soundEvery, deadlyEvery := rapid.IntRange(5, 60).Draw(t, "sound every"), rapid.IntRange(2, 40).Draw(t, "deadly every")
-		callers := rapid.IntRange(1, 7).Draw(t, "callers")
+		callers, deadlyCount := rapid.IntRange(1, 7).Draw(t, "callers"), rapid.IntRange(1, 2).Draw(t, "deadly segments")
 		const deadlyFrom = 100
 		refused := 0
 		for step := range 1200 {
 			m.step(step)
 			table := m.tables[rapid.IntRange(0, len(m.tables)-1).Draw(t, "process")]
 			if step >= deadlyFrom && step%deadlyEvery == 0 {
-				m.send(table, step, prompt.traits(longDeadly, longContent+Trait(2*step)), true)
+				deadly := longDeadly + Trait(step/deadlyEvery%deadlyCount)
+				m.send(table, step, prompt.traits(deadly, longContent+Trait(2*step)), true)
 			}
 			sound := prompt.traits(longOwn+Trait(step%callers), longContent+Trait(2*step+1))
 			if step%soundEvery == 0 && !m.send(table, step, sound, false) && step > m.lastCrash()+2*settleSteps {
