Weigh the crash of an endpoint by how far the answer had come

What callers saw: a segment of prompts that crashes endpoints after two events of the answer was never banned.

Cause: after two events a request counted as harmless. Its crash wasn't recorded, its two events cleared the segment of earlier crashes, and with resumed streams the events of all calls were added up.

Why this works: an answer shows that its request doesn't crash endpoints up to where it has come, and no more. So crashes have a stage, answers clear earlier stages only, and events are counted for each call. As crashes of another cause hit long answers at any stage, later ones need three attempts and speak only against what no answer had come further with; from 128 events on they say nothing.

Tests changed: calls name the stage; the two that are there since before ask for the same.

--- a/acaciacrash/ban.go
+++ b/acaciacrash/ban.go
@@ -63,7 +63,7 @@
 	if w.answered {
 		initial = initialAnsweredBan
 	}
-	duration := min(initial<<min(w.attempts-minCrashes, maxBanDoublings), maxBan)
+	duration := min(initial<<min(w.excess(), maxBanDoublings), maxBan)
 	ban := &Ban{Crashes: len(w.crashes), Until: w.last.Add(duration + time.Duration(jitter*float64(duration)))}
 	for _, s := range suspects {
 		ban.Traits = append(ban.Traits, s.trait)
--- a/acaciacrash/evidence_test.go
+++ b/acaciacrash/evidence_test.go
@@ -33,7 +33,7 @@
 			assert.Check(t, refuses(table, at(301), prompt(deadly, common, content+2)...))
 			sound := prompt(own, common, content+3)
 			assert.Check(t, !refuses(table, at(301), sound...))
-			table.RecordAnswer(sound, at(400))
+			table.RecordAnswer(StageWhole, sound, at(400))
 			assert.Check(t, refuses(table, at(401), prompt(deadly, own+1, content+4)...), "the deadly segment alone")
 			assert.Check(t, !refuses(table, at(401), prompt(own+1, common, content+5)...))
 		})
@@ -59,7 +59,7 @@
 	for name, prompt := range orders {
 		t.Run(name, func(t *testing.T) {
 			table := NewTable(0)
-			table.RecordAnswer(prompt(own, common, content), at(0))
+			table.RecordAnswer(StageWhole, prompt(own, common, content), at(0))
 			crash(table, 1, at(100), prompt(deadly, common, content+1)...)
 			crash(table, 2, at(300), prompt(deadly, common, content+2)...)
 			assert.Check(t, refuses(table, at(301), deadly, content+3))
@@ -71,7 +71,7 @@
 // A segment that had been answered can crash endpoints later, for example those of a new version.
 func TestAnsweredSegmentIsBannedIfNothingElseExplainsTheCrashes(t *testing.T) {
 	table := NewTable(0)
-	table.RecordAnswer([]Trait{common, content}, at(0))
+	table.RecordAnswer(StageWhole, []Trait{common, content}, at(0))
 	for n := range 2 {
 		crash(table, uint64(n), at(100+200*n), own+Trait(n), common, content+Trait(n))
 	}
@@ -83,7 +83,7 @@
 	for name, prompt := range orders {
 		t.Run(name, func(t *testing.T) {
 			table := NewTable(0)
-			table.RecordAnswer(prompt(own, common, content), at(0))
+			table.RecordAnswer(StageWhole, prompt(own, common, content), at(0))
 			for n := range 4 {
 				crash(table, uint64(n), at(100+200*n), prompt(deadly-Trait(n%2), common, content+Trait(n))...)
 			}
@@ -100,7 +100,7 @@
 		t.Run(name, func(t *testing.T) {
 			sees, knows := NewTable(0), NewTable(0)
 			toKnows, toSees := sees.NewOutbox(), knows.NewOutbox()
-			knows.RecordAnswer(prompt(own, common, content), at(0))
+			knows.RecordAnswer(StageWhole, prompt(own, common, content), at(0))
 			crash(sees, 1, at(100), prompt(deadly, common, content+1)...)
 			crash(sees, 2, at(300), prompt(deadly, common, content+2)...)
 			knows.Merge(toKnows.Next(at(310)), at(310))
@@ -168,11 +168,11 @@
 	}
 	m.at(step+runSteps, func(now time.Time) {
 		if !crashes {
-			table.RecordAnswer(traits, now)
+			table.RecordAnswer(StageWhole, traits, now)
 			return
 		}
 		m.crashSteps = append(m.crashSteps, step+runSteps)
-		table.RecordCrash(uint64(step)<<8+uint64(len(m.crashSteps)), traits, attempts, now)
+		table.RecordCrash(uint64(step)<<8+uint64(len(m.crashSteps)), StageBegun, traits, attempts, now)
 	})
 	return true
 }
--- a/acaciacrash/record.go
+++ b/acaciacrash/record.go
@@ -11,13 +11,14 @@
 	// or their whole content.
 	Trait uint64
 
-	// Record says that a request ran on an endpoint that crashed, and that nothing of its answer had
-	// shown that it was harmless.
+	// Record says that a request ran on an endpoint that crashed.
 	Record struct {
 		// Crash identifies the run of the endpoint that crashed.
 		Crash uint64
 		// ObservedAt is when the crash was observed.
 		ObservedAt time.Time
+		// Stage is the one that the answer had reached.
+		Stage Stage
 		// Traits tells of all traits of the request, each once. The last one is its content.
 		Traits []TraitRecord
 	}
@@ -29,10 +30,9 @@
 		// of when it sent the request. Crashes of the same attempt may have one common cause
 		// that is none of the requests: the failure of a rack, for example.
 		Attempt int
-		// Cleared reports whether an endpoint has answered a request with the trait since.
-		Cleared bool
-		// Answered reports whether an endpoint had answered a request with the trait before.
-		Answered bool
+		// Before is the last stage that the answer to a request with the trait had reached before the crash, Since the
+		// last one that such an answer has reached since.
+		Before, Since Stage
 	}
 
 	// recordKey identifies a record: the crash, and the content of the request.
@@ -49,9 +49,9 @@
 
 // merge adds what another record of the same crash and trait says.
 func (r *TraitRecord) merge(other TraitRecord) {
-	r.Cleared = r.Cleared || other.Cleared
-	r.Answered = r.Answered || other.Answered
 	r.Attempt = max(r.Attempt, other.Attempt)
+	r.Before = max(r.Before, other.Before)
+	r.Since = max(r.Since, other.Since)
 }
 
 // sortByObservation sorts crashes by the time at which they were observed.
--- a/acaciacrash/suspect.go
+++ b/acaciacrash/suspect.go
@@ -15,18 +15,19 @@
 
 	// weight is what speaks against a trait.
 	weight struct {
-		// answered reports whether endpoints had answered requests with the trait before.
+		// answered reports whether answers to requests with the trait had come further before.
 		answered bool
-		attempts int
+		// attempts is the number of attempts that ended in a crash, earlyAttempts that of those whose answers had hardly begun.
+		attempts, earlyAttempts int
 		// crashes holds the crashes that the trait explains, sorted.
 		crashes []uint64
 		last    time.Time
 	}
 
-	// evidence is a crash of a request with a trait.
+	// evidence is a crash that speaks against a trait.
 	evidence struct {
 		crash *endpointCrash
-		trait TraitRecord
+		trait *crashTrait
 	}
 
 	// attemptSpan holds the first and the last of the attempts with a trait that ended in a crash.
@@ -43,7 +44,7 @@
 	spans := map[Trait]attemptSpan{}
 	for _, c := range crashes {
 		for trait, record := range c.traits {
-			if record.Cleared {
+			if !record.speaksAgainst() {
 				continue
 			}
 			span, present := spans[trait]
@@ -62,7 +63,7 @@
 	byTrait := map[Trait][]evidence{}
 	for _, c := range crashes {
 		for trait, record := range c.traits {
-			if span := spans[trait]; !record.Cleared && span.first < span.last {
+			if span := spans[trait]; record.speaksAgainst() && span.first < span.last {
 				byTrait[trait] = append(byTrait[trait], evidence{c, record})
 			}
 		}
@@ -72,8 +73,9 @@
 
 // likeliest returns the suspect that is most likely the cause, and those equivalent to it, in the order of
 // their traits. It returns none if nothing is enough against any.
-func likeliest(suspects []suspect) []suspect {
-	suspects = slices.DeleteFunc(suspects, func(s suspect) bool { return s.weight.attempts < minCrashes })
+func likeliest(all []suspect) []suspect {
+	others := unansweredCrashes(all)
+	suspects := slices.DeleteFunc(slices.Clone(all), func(s suspect) bool { return !s.weight.suffices() || s.isBetterExplained(others) })
 	if len(suspects) == 0 {
 		return nil
 	}
@@ -85,26 +87,77 @@
 	return suspects
 }
 
+// unansweredCrashes returns the crashes that suspects explain whose requests had not been answered, each list once.
+func unansweredCrashes(suspects []suspect) [][]uint64 {
+	var lists [][]uint64
+	for _, s := range suspects {
+		if !s.weight.answered {
+			lists = append(lists, s.weight.crashes)
+		}
+	}
+	slices.SortFunc(lists, slices.Compare)
+	return slices.CompactFunc(lists, slices.Equal)
+}
+
+// isBetterExplained reports whether requests with the trait had been answered, while the crashes that it explains are among
+// those of a trait that had not, even if that is not enough against the other one yet.
+func (s suspect) isBetterExplained(unanswered [][]uint64) bool {
+	return s.weight.answered && slices.ContainsFunc(unanswered, func(crashes []uint64) bool {
+		return containsAll(crashes, s.weight.crashes)
+	})
+}
+
+// containsAll reports whether a sorted list holds all elements of another one.
+func containsAll(list, elements []uint64) bool {
+	for _, element := range elements {
+		if _, found := slices.BinarySearch(list, element); !found {
+			return false
+		}
+	}
+	return true
+}
+
 // weigh returns the weight of the evidence against one trait that is not explained.
 func weigh(all []evidence, explained map[uint64]bool) weight {
 	w := weight{}
-	attempts := map[int]bool{}
+	attempts, early := map[int]bool{}, map[int]bool{}
+	before, stage := StageBegun, StageBegun
 	for _, e := range all {
-		w.answered = w.answered || e.trait.Answered
+		before = max(before, e.trait.Before)
+		if e.trait.isLate() {
+			stage = max(stage, e.trait.stage)
+		}
 		if explained[e.crash.id] {
 			continue
 		}
 		attempts[e.trait.Attempt] = true
+		if e.trait.isEarly() {
+			early[e.trait.Attempt] = true
+		}
 		w.crashes = append(w.crashes, e.crash.id)
 		if e.crash.observedAt.After(w.last) {
 			w.last = e.crash.observedAt
 		}
 	}
-	w.attempts = len(attempts)
+	w.answered = before > stage
+	w.attempts, w.earlyAttempts = len(attempts), len(early)
 	slices.Sort(w.crashes)
 	return w
 }
 
+// suffices reports whether the trait may be banned.
+func (w weight) suffices() bool {
+	return w.earlyAttempts >= minEarlyAttempts || w.attempts >= minAttempts
+}
+
+// excess returns the number of attempts beyond those that suffice.
+func (w weight) excess() int {
+	if w.earlyAttempts >= minEarlyAttempts {
+		return w.attempts - minEarlyAttempts
+	}
+	return w.attempts - minAttempts
+}
+
 // compare orders the weights of two traits by how likely the trait is the cause: one with which requests
 // had been answered is less likely; then by the attempts that ended in a crash, then by the crashes.
 func (w weight) compare(other weight) int {
--- a/acaciacrash/table.go
+++ b/acaciacrash/table.go
@@ -16,7 +16,7 @@
 		// attempts holds the traits that crashes speak against.
 		attempts map[Trait]attemptSpan
 		bans     []*Ban
-		// answered holds the segments that this process knows endpoints have answered.
+		// answered holds how far answers to requests with segments have come that this process knows of.
 		answered answeredTraits
 		// outboxes get the records that this process adds or changes itself.
 		outboxes []*Outbox
@@ -29,8 +29,10 @@
 	// MaxJitter is the most by which a process should prolong bans, as a share.
 	MaxJitter = 0.5
 
-	// minCrashes is the number of attempts ended by a crash that ban a trait.
-	minCrashes = 2
+	// minEarlyAttempts is the number of attempts that ban a trait if a crash ended them as the answer began, minAttempts
+	// the number if the answers had come further.
+	minEarlyAttempts = 2
+	minAttempts      = 3
 	// crashLifetime is how long crashes are kept, maxCrashes how many, and maxTraitRecords how many traits they may hold:
 	// the oldest crashes are dropped, each whole, because a part of its traits would be suspect in place of all.
 	crashLifetime   = 2 * maxBan
@@ -63,12 +65,15 @@
 	})
 }
 
-// RecordCrash records that a request with the traits ran unproven on an endpoint that crashed.
-// attempts is what Attempts returned for them when the request was sent.
-func (t *Table) RecordCrash(crash uint64, traits []Trait, attempts []int, now time.Time) {
-	record := Record{Crash: crash, ObservedAt: now}
+// RecordCrash records that a request with the traits ran on an endpoint that crashed, and the stage that the answer had
+// reached; after lastSuspectStage that says nothing of the request. attempts is what Attempts returned for them when the request was sent.
+func (t *Table) RecordCrash(crash uint64, stage Stage, traits []Trait, attempts []int, now time.Time) {
+	if stage > lastSuspectStage {
+		return
+	}
+	record := Record{Crash: crash, ObservedAt: now, Stage: stage}
 	for i, trait := range traits {
-		record.Traits = append(record.Traits, TraitRecord{Trait: trait, Attempt: attempts[i], Answered: t.answered.contains(trait)})
+		record.Traits = append(record.Traits, TraitRecord{Trait: trait, Attempt: attempts[i], Before: t.answered.reached(trait)})
 	}
 	if t.add(record) {
 		t.tell(recordKey{crash, record.content()})
@@ -76,31 +81,31 @@
 	t.decide(now)
 }
 
-// RecordAnswer records that an endpoint has survived to answer a request with the traits. That clears them
-// of all crashes so far.
-func (t *Table) RecordAnswer(traits []Trait, now time.Time) {
+// RecordAnswer records that the answer to a request with the traits has reached a stage. That clears them
+// of all crashes so far in which the answers had not come as far.
+func (t *Table) RecordAnswer(reached Stage, traits []Trait, now time.Time) {
 	for _, segment := range traits[:max(len(traits)-1, 0)] {
-		t.answered.add(segment)
+		t.answered.add(segment, reached)
 	}
 	if !t.Suspects(traits) {
 		return
 	}
 	for _, c := range t.crashes {
-		t.tell(c.update(traits, func(record *TraitRecord) { record.Cleared = true })...)
+		t.tell(c.update(traits, func(record *TraitRecord) { record.Since = max(record.Since, reached) })...)
 	}
 	t.decide(now)
 }
 
 // Merge applies the records of another process and reports whether they tell anything new. If this
-// process knows that a segment was answered before, it tells the others.
+// process knows that answers had come further before, it tells the others.
 func (t *Table) Merge(records []Record, now time.Time) bool {
 	changed := false
 	for _, record := range records {
-		if len(record.Traits) == 0 {
+		if len(record.Traits) == 0 || record.Stage > lastSuspectStage {
 			continue
 		}
 		changed = t.add(record) || changed
-		answered := t.crashes[record.Crash].update(t.answeredOf(record), func(told *TraitRecord) { told.Answered = true })
+		answered := t.crashes[record.Crash].update(t.answeredOf(record), func(told *TraitRecord) { told.Before = t.answered.reached(told.Trait) })
 		changed = changed || len(answered) > 0
 		t.tell(answered...)
 	}
@@ -110,11 +115,11 @@
 	return changed
 }
 
-// answeredOf returns the traits of a record that this process, unlike the sender, knows to have been answered.
+// answeredOf returns the traits of a record of which this process knows, unlike the sender, that answers had come further.
 func (t *Table) answeredOf(record Record) []Trait {
 	var traits []Trait
 	for _, told := range record.Traits {
-		if !told.Answered && t.answered.contains(told.Trait) {
+		if t.answered.reached(told.Trait) > told.Before {
 			traits = append(traits, told.Trait)
 		}
 	}
--- a/acaciacrash/table_test.go
+++ b/acaciacrash/table_test.go
@@ -25,7 +25,7 @@
 
 // crash records a crash of a request that was sent with all earlier crashes known.
 func crash(table *Table, crash uint64, now time.Time, traits ...Trait) {
-	table.RecordCrash(crash, traits, table.Attempts(traits), now)
+	table.RecordCrash(crash, StageBegun, traits, table.Attempts(traits), now)
 }
 
 func refuses(t *Table, now time.Time, traits ...Trait) bool {
@@ -67,7 +67,7 @@
 	traits := []Trait{first, segment, content}
 	attempts := table.Attempts(traits)
 	for n := range 3 {
-		table.RecordCrash(uint64(n), []Trait{first, segment, content + Trait(n)}, attempts, at(100+n))
+		table.RecordCrash(uint64(n), StageBegun, []Trait{first, segment, content + Trait(n)}, attempts, at(100+n))
 	}
 	crash(table, 3, at(200), traits...)
 	assert.Check(t, refuses(table, at(200), first, segment, content+10))
@@ -80,9 +80,9 @@
 	for n := range 3 {
 		traits, beside := []Trait{first, segment, content + Trait(n)}, []Trait{first, otherSegment, content + 10 + Trait(n)}
 		attempts, attemptsBeside := table.Attempts(traits), table.Attempts(beside)
-		table.RecordCrash(uint64(n), traits, attempts, at(100*n))
+		table.RecordCrash(uint64(n), StageBegun, traits, attempts, at(100*n))
 		if n < 2 {
-			table.RecordCrash(uint64(n), beside, attemptsBeside, at(100*n+1))
+			table.RecordCrash(uint64(n), StageBegun, beside, attemptsBeside, at(100*n+1))
 		}
 	}
 	assert.Check(t, refuses(table, at(700), first, segment, content+20))
@@ -94,7 +94,7 @@
 	table := NewTable(0)
 	attempts := table.Attempts([]Trait{first, segment, content})
 	for n := range 9 {
-		table.RecordCrash(uint64(n), []Trait{first, segment, content + Trait(n)}, attempts, at(100+n))
+		table.RecordCrash(uint64(n), StageBegun, []Trait{first, segment, content + Trait(n)}, attempts, at(100+n))
 	}
 	assert.Check(t, !refuses(table, at(110), first, segment, content+20))
 }
@@ -104,7 +104,7 @@
 func TestAnsweredTraitIsNotTheCause(t *testing.T) {
 	table := NewTable(0)
 	crash(table, 1, at(100), first, content)
-	table.RecordAnswer([]Trait{first, content + 1}, at(200))
+	table.RecordAnswer(StageWhole, []Trait{first, content + 1}, at(200))
 	crash(table, 2, at(400), first, content+2)
 	assert.Check(t, !refuses(table, at(400), first, content+3))
 	table.Merge([]Record{{Crash: 1, ObservedAt: at(100), Traits: []TraitRecord{{Trait: first, Attempt: 1}}}}, at(500))
@@ -128,7 +128,7 @@
 	again := end.Add(2 * time.Second)
 	crash(table, 3, again, traits...)
 	assert.Check(t, refuses(table, again.Add(2*initialBan-time.Millisecond), traits...))
-	table.RecordAnswer(traits, again.Add(3*initialBan))
+	table.RecordAnswer(StageWhole, traits, again.Add(3*initialBan))
 	assert.Check(t, !refuses(table, again.Add(3*initialBan), traits...))
 	assert.Equal(t, len(table.Bans()), 0)
 }
@@ -160,7 +160,7 @@
 			table := tables[rapid.IntRange(0, len(tables)-1).Draw(t, "process")]
 			traits := []Trait{Trait(rapid.IntRange(1, 3).Draw(t, "segment")), content + Trait(step)}
 			if rapid.IntRange(0, 3).Draw(t, "answered") == 0 {
-				table.RecordAnswer(traits, now)
+				table.RecordAnswer(StageWhole, traits, now)
 			} else {
 				crash(table, uint64(rapid.IntRange(0, step).Draw(t, "crash")), now, traits...)
 			}
@@ -192,7 +192,7 @@
 		outbox := table.NewOutbox()
 		for n := range crashes {
 			crash(table, uint64(n), at(100*n), wideTraits(segments, content+Trait(n))...)
-			table.RecordAnswer([]Trait{first}, at(100*n+60))
+			table.RecordAnswer(StageWhole, []Trait{first}, at(100*n+60))
 		}
 		assert.Check(t, len(table.crashes) <= maxCrashes)
 		assert.Check(t, len(table.crashes) > 1)
@@ -270,7 +270,7 @@
 		b.Run(fmt.Sprint(segments, " segments, answer without a crash before"), func(b *testing.B) {
 			table := NewTable(0)
 			for b.Loop() {
-				table.RecordAnswer(traits, at(crashes))
+				table.RecordAnswer(StageWhole, traits, at(crashes))
 			}
 		})
 		b.Run(fmt.Sprint(segments, " segments, crash"), func(b *testing.B) {
--- a/acaciagateway/crash.go
+++ b/acaciagateway/crash.go
@@ -17,18 +17,16 @@
 	"github.com/acaciaroute/acaciaroute/acaciasite"
 )
 
-// unprovenCall is a call of an endpoint whose answer has not yet shown that the request is
-// harmless.
-type unprovenCall struct {
+// runningCall is a call of an endpoint whose answer is not whole yet.
+type runningCall struct {
 	// attempts holds what the table of crashes said of the request's traits when it was sent.
 	attempts []int
-	cancel   context.CancelCauseFunc
+	// stage is the one that the answer has reached.
+	stage  acaciacrash.Stage
+	cancel context.CancelCauseFunc
 }
 
 const (
-	// provenEvents is the number of events of a stream after which the endpoint has survived
-	// the beginning of the answer.
-	provenEvents = 2
 	// maxNamedSegments is the most segments that a refusal names.
 	maxNamedSegments = 8
 )
@@ -126,32 +124,38 @@
 	return names
 }
 
-// beginCall registers the call that the request is about to make, so that it can be cancelled
-// when one of its traits is banned.
+// beginCall registers the call that the request is about to make, so that a crash of the endpoint counts against the
+// request, and the call can be cancelled when one of its traits is banned.
 func (x *exchange) beginCall(cancel context.CancelCauseFunc) {
+	x.answerStage, x.eventsBeforeCall = acaciacrash.StageBegun, x.eventCount
 	g := x.gateway
 	g.loop.Post(func() {
-		if !x.proven.Load() {
-			g.unprovenCalls[x] = unprovenCall{attempts: g.crashes.Attempts(x.traits), cancel: cancel}
-		}
+		g.runningCalls[x] = &runningCall{attempts: g.crashes.Attempts(x.traits), cancel: cancel}
 	})
 }
 
-// endCall removes the request's call: it has ended, or there is no more doubt about it. It must be
-// called on the loop.
+// endCall removes the request's call: it has ended. It must be called on the loop.
 func (g *Gateway) endCall(x *exchange) {
-	delete(g.unprovenCalls, x)
+	delete(g.runningCalls, x)
 }
 
-// recordProof records that an endpoint has survived the beginning of the answer.
-func (x *exchange) recordProof() {
-	if x.proven.Swap(true) {
-		return
+// recordProgress records that an endpoint has survived to bring the answer to the stage of a stream that has not ended.
+func (x *exchange) recordProgress() {
+	stage := acaciacrash.StageOf(x.eventCount - x.eventsBeforeCall)
+	if stage > x.answerStage {
+		x.answerStage = stage
+		x.recordStage(stage)
 	}
+}
+
+// recordStage records that the answer has reached a stage.
+func (x *exchange) recordStage(stage acaciacrash.Stage) {
 	g := x.gateway
 	g.loop.Post(func() {
-		g.endCall(x)
-		g.crashes.RecordAnswer(x.traits, g.loop.Now())
+		if call := g.runningCalls[x]; call != nil {
+			call.stage = stage
+		}
+		g.crashes.RecordAnswer(stage, x.traits, g.loop.Now())
 	})
 }
 
@@ -171,12 +175,12 @@
 	g.metrics.endpointCrashes.WithLabelValues(x.service).Inc()
 	crash := crashKey(x.endpoint)
 	g.loop.Post(func() {
-		call, unproven := g.unprovenCalls[x]
-		if !unproven {
+		call := g.runningCalls[x]
+		if call == nil {
 			return
 		}
 		g.endCall(x)
-		g.crashes.RecordCrash(crash, x.traits, call.attempts, g.loop.Now())
+		g.crashes.RecordCrash(crash, call.stage, x.traits, call.attempts, g.loop.Now())
 		g.applyBans()
 		// The others must know at once, because they may be sending the like.
 		g.broadcast(false)
@@ -194,8 +198,8 @@
 			waiter.results <- waitResult{err: waiter.exchange.banError(ban, now)}
 		}
 	}
-	for x, call := range g.unprovenCalls {
-		if g.crashes.BanInForce(x.traits, now) != nil {
+	for x, call := range g.runningCalls {
+		if call.stage == acaciacrash.StageBegun && g.crashes.BanInForce(x.traits, now) != nil {
 			call.cancel(errBanned)
 		}
 	}
--- a/acaciagateway/crash_test.go
+++ b/acaciagateway/crash_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -28,7 +29,9 @@
 
 // crashingEndpoints are endpoints that crash for good when they run certain requests.
 type crashingEndpoints struct {
-	crashes atomic.Int64
+	// eventsBefore is the number of events that an endpoint writes before it crashes.
+	eventsBefore int
+	crashes      atomic.Int64
 }
 
 // add registers count endpoints that crash at the requests for which crashes returns true.
@@ -42,6 +45,11 @@
 				return
 			}
 			e.crashes.Add(1)
+			if e.eventsBefore > 0 {
+				last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
+				writeEvents(w, last+1, last+e.eventsBefore)
+			}
 			_ = server.Listener.Close()
 			panic(http.ErrAbortHandler)
 		}))
@@ -58,7 +66,13 @@
 // promptRequest sends a request with a prompt, which is its body, too.
 func promptRequest(t *testing.T, url, id, prompt string) testResponse {
 	t.Helper()
-	request, err := http.NewRequest(http.MethodPost, url+"/unsafe/", strings.NewReader(prompt))
+	return promptRequestTo(t, url+"/unsafe/", id, prompt)
+}
+
+// promptRequestTo does the same with the URL of a route.
+func promptRequestTo(t *testing.T, url, id, prompt string) testResponse {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(prompt))
 	assert.NilError(t, err)
 	acaciaplatformstandin.SetCallerHeaders(request, id)
 	request.Header.Set(acaciaplatformstandin.HeaderPrompt, prompt)
@@ -98,6 +112,38 @@
 	assert.Equal(t, e.crashes.Load(), crashes)
 }
 
+// Guards against taking a request for harmless once its endpoint has written some events: it crashes endpoints all the
+// same, one after the other, and what it shares with other such requests must be refused.
+func TestSegmentThatCrashesEndpointsAfterSomeEventsIsRefused(t *testing.T) {
+	const endpoints, maxCrashed, maxTries, answered = 8, 5, 50, 10
+	for _, events := range []int{1, 2, 3, 8, 40} {
+		t.Run(fmt.Sprint(events, " events"), func(t *testing.T) {
+			b := newTestbed(t)
+			e := crashingEndpoints{eventsBefore: events}
+			e.add(b, endpoints, hasCrashingSegment)
+			waitFor(t, func() bool { return len(b.gateway.endpointIDs()) == endpoints })
+			send := func(id, prompt string, number int) testResponse {
+				return promptRequestTo(t, b.url+"/stream/", fmt.Sprint(id, number), fmt.Sprintf(prompt, number))
+			}
+			assert.Equal(t, send("s-", harmlessPrompt, 0).status, http.StatusOK)
+			for number := 0; ; number++ {
+				r := send("d-", crashingPrompt, number)
+				if strings.Contains(r.body, "prompts with segment "+crashingSegment) {
+					break
+				}
+				assert.Assert(t, e.crashes.Load() <= maxCrashed, "%d endpoints crashed", e.crashes.Load())
+				assert.Assert(t, number < maxTries, r.body)
+			}
+			crashes := e.crashes.Load()
+			for i := range answered {
+				assert.Equal(t, send("h-", harmlessPrompt, i).status, http.StatusOK)
+				assert.Equal(t, send("e-", crashingPrompt, 1000+i).status, http.StatusServiceUnavailable)
+			}
+			assert.Equal(t, e.crashes.Load(), crashes)
+		})
+	}
+}
+
 // longPrompt returns a prompt of segments that other prompts share, one that may be among them, and one of its own.
 func longPrompt(shared, place int, special string, own int) string {
 	const firstShared = 0x100
@@ -313,7 +359,7 @@
 		for _, w := range g.waiters {
 			now := time.Now()
 			for crash := range uint64(2) {
-				g.crashes.RecordCrash(crash, w.exchange.traits, g.crashes.Attempts(w.exchange.traits), now)
+				g.crashes.RecordCrash(crash, acaciacrash.StageBegun, w.exchange.traits, g.crashes.Attempts(w.exchange.traits), now)
 			}
 		}
 		g.applyBans()
--- a/acaciagateway/exchange.go
+++ b/acaciagateway/exchange.go
@@ -48,10 +48,11 @@
 	body            []byte
 	// memory is what the request holds of the memory for requests.
 	memory *acaciamemory.Request
-	// traits are by what the request is recognised if it crashes endpoints; proven reports
-	// whether an endpoint has survived the beginning of its answer.
-	traits []acaciacrash.Trait
-	proven atomic.Bool
+	// traits are by what the request is recognised if it crashes endpoints; answerStage is the one that the answer to
+	// the current call has reached, and eventsBeforeCall the number of stream events before that.
+	traits           []acaciacrash.Trait
+	answerStage      acaciacrash.Stage
+	eventsBeforeCall int
 
 	// excluded lists the endpoints that must not get the request again, usedEndpoints those
 	// that may have run it. runs counts the calls in which an endpoint may have run it,
--- a/acaciagateway/explain_test.go
+++ b/acaciagateway/explain_test.go
@@ -270,7 +270,7 @@
 		traits := requestTraits(&query.metadata, "", "", "", nil)
 		for crash := range uint64(2) {
 			traits[len(traits)-1] = acaciacrash.Trait(crash)
-			b.gateway.crashes.RecordCrash(crash, traits, b.gateway.crashes.Attempts(traits), now)
+			b.gateway.crashes.RecordCrash(crash, acaciacrash.StageBegun, traits, b.gateway.crashes.Attempts(traits), now)
 		}
 	})
 	waitFor(t, func() bool { return explained(t, b.gateway, explainedFields("/safe/x")).Services[0].Quota.Accepted })
--- a/acaciagateway/gateway.go
+++ b/acaciagateway/gateway.go
@@ -78,13 +78,13 @@
 		// registeredPeers holds the addresses that gateways have registered in the store.
 		registeredPeers map[string]bool
 		// inbox holds messages of other gateways that have not been applied yet.
-		inbox         *acaciapeer.Inbox
-		crashes       *acaciacrash.Table
-		origins       *acaciaorigin.Table
-		aware         *acaciaorigin.AwareGateways
-		rollouts      *rollouts
-		unprovenCalls map[*exchange]unprovenCall
-		endpoints     *acaciaregistration.List
+		inbox        *acaciapeer.Inbox
+		crashes      *acaciacrash.Table
+		origins      *acaciaorigin.Table
+		aware        *acaciaorigin.AwareGateways
+		rollouts     *rollouts
+		runningCalls map[*exchange]*runningCall
+		endpoints    *acaciaregistration.List
 		// listReadBegan is when the last successful read of the list of endpoints began.
 		listReadBegan time.Time
 		// starts holds what shows that the listed starts of endpoints are the current ones.
@@ -186,7 +186,7 @@
 		inFlight:           newInFlight(),
 		explaining:         make(chan struct{}, 1),
 		waiters:            map[*acaciaschedule.Request]waiter{},
-		unprovenCalls:      map[*exchange]unprovenCall{},
+		runningCalls:       map[*exchange]*runningCall{},
 		startedAt:          time.Now().UnixNano(),
 		peerSocket:         acaciagossip.NewSocket(recorder),
 		peerClient:         &http.Client{Transport: acaciaresponse.NewTransport(&http.Transport{})},
--- a/acaciagateway/relay.go
+++ b/acaciagateway/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/acaciaroute/acaciaroute"
+	"github.com/acaciaroute/acaciaroute/acaciacrash"
 	"github.com/acaciaroute/acaciaroute/acaciaevent"
 	"github.com/acaciaroute/acaciaroute/acaciamemory"
 	"github.com/acaciaroute/acaciaroute/acaciaschedule"
@@ -48,9 +49,7 @@
 				return x.classifyReadError(ctx, response, wd, context.Cause(wd.ctx))
 			}
 		}
-		if x.eventCount >= provenEvents {
-			x.recordProof()
-		}
+		x.recordProgress()
 		if len(complete) > 0 {
 			if continues {
 				x.recordContinued()
@@ -185,6 +184,6 @@
 	x.gateway.recorder.Record(event)
 	x.gateway.metrics.countResponse(x, acaciaroute.CodeOK)
 	if status < http.StatusInternalServerError && (x.eventCount > 0 || x.route.Kind != acaciasite.KindStream) {
-		x.recordProof()
+		x.recordStage(acaciacrash.StageWhole)
 	}
 }
--- a/acaciapeer/members_test.go
+++ b/acaciapeer/members_test.go
@@ -123,8 +123,8 @@
 			Streams:  []acaciaorigin.Stream{{Key: 1 << 63, Origin: acaciasite.Origin{Service: "m", Version: "v2"}}},
 		},
 		Crashes: []acaciacrash.Record{
-			{Crash: 1 << 63, ObservedAt: now.Add(-time.Millisecond), Traits: []acaciacrash.TraitRecord{
-				{Trait: 2, Attempt: 4, Cleared: true}, {Trait: 1 << 63, Attempt: 1, Answered: true},
+			{Crash: 1 << 63, ObservedAt: now.Add(-time.Millisecond), Stage: 2, Traits: []acaciacrash.TraitRecord{
+				{Trait: 2, Attempt: 4, Since: acaciacrash.StageWhole}, {Trait: 1 << 63, Attempt: 1, Before: 3},
 			}},
 			{Crash: 3, ObservedAt: now, Traits: []acaciacrash.TraitRecord{{Trait: 4, Attempt: 1}}},
 		},
--- a/acaciapoison/verdict.go
+++ b/acaciapoison/verdict.go
@@ -101,10 +101,10 @@
 	crash := xxhash.Sum64String(strconv.FormatInt(report.At.UnixNano(), 10) + strings.Join(report.Contents, " "))
 	for _, run := range report.Runs {
 		if len(run.Attempts) == len(run.Traits) {
-			t.crashes.RecordCrash(crash, run.Traits, run.Attempts, report.At)
+			t.crashes.RecordCrash(crash, acaciacrash.StageBegun, run.Traits, run.Attempts, report.At)
 		}
 	}
-	t.crashes.RecordAnswer(report.Answered, report.At)
+	t.crashes.RecordAnswer(acaciacrash.StageWhole, report.Answered, report.At)
 	for _, content := range report.Contents {
 		switch {
 		case report.Cleared:
