Let a soak play long prompts whose segment crashes endpoints in the middle of streams

TestGatewaysRefuseLateCrashingSegmentUnderRandomFaults: the segment stands behind 40 that all prompts share, and crashes endpoints after three events of a stream that may be resumed. Faults and checks are those of the soak that there is, which plays as before.

--- a/acaciasystem/gateway_cluster_test.go
+++ b/acaciasystem/gateway_cluster_test.go
@@ -64,8 +64,10 @@
 		// close the connection without an answer.
 		failsRequests bool
 		dropsAnswers  bool
-		// crashingSegment is the prompt segment that crashes the endpoint, if not empty.
+		// crashingSegment is the prompt segment that crashes the endpoint, if not empty, after crashingEvents events of a
+		// stream.
 		crashingSegment string
+		crashingEvents  int
 		// crashes holds the times of the crashes, crashingRuns those at which a request with the
 		// segment came.
 		crashes, crashingRuns []time.Time
@@ -296,7 +298,12 @@
 	e.runCounts[id]++
 	if e.crashingSegment != "" && strings.Contains(r.Header.Get(acaciaplatformstandin.HeaderPrompt), e.crashingSegment) {
 		e.crashingRuns = append(e.crashingRuns, time.Now())
+		events := e.crashingEvents
 		e.mu.Unlock()
+		if events > 0 {
+			acaciaplatformstandin.SetResponseHeaders(w, r, "seal")
+			e.writeStream(w, r, events)
+		}
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
@@ -310,7 +317,7 @@
 	case failsRequests:
 		w.WriteHeader(http.StatusInternalServerError)
 	case strings.HasPrefix(r.URL.Path, "/stream/"):
-		e.writeStream(w, r)
+		e.writeStream(w, r, streamEventCount)
 	case strings.HasPrefix(r.URL.Path, longAnswerPath):
 		writeLongAnswer(w)
 	default:
@@ -334,13 +341,13 @@
 	})
 }
 
-// writeStream writes numbered events, after the one that Last-Event-Id names if it is sent.
-func (e *endpointNode) writeStream(w http.ResponseWriter, r *http.Request) {
+// writeStream writes numbered events, after the one that Last-Event-Id names if it is sent, count of them at most.
+func (e *endpointNode) writeStream(w http.ResponseWriter, r *http.Request, count int) {
 	firstEvent := 1
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &firstEvent); err == nil {
 		firstEvent++
 	}
-	for i := firstEvent; i <= streamEventCount; i++ {
+	for i := firstEvent; i <= min(streamEventCount, firstEvent+count-1); i++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, r.Header.Get(acaciaplatformstandin.HeaderRequestID), i); err != nil {
 			return
 		}
--- a/acaciasystem/gateway_crash_soak_test.go
+++ b/acaciasystem/gateway_crash_soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -16,6 +17,15 @@
 	acaciaplatformstandin "github.com/acaciaroute/acaciaroute/platform/standin"
 )
 
+// crashSoak is what the callers of a soak send.
+type crashSoak struct {
+	path string
+	// shared holds the segments that all prompts begin with.
+	shared string
+	// events is the number of events that an endpoint writes before it crashes.
+	events int
+}
+
 const (
 	crashSoakDuration = 12 * time.Second
 	// crashesBeforeBan and maxRunsAfterBan say when requests with a segment must be refused: from
@@ -31,14 +41,26 @@
 // fail; -soak.seed and -soak.seeds select the seeds.
 func TestGatewaysRefuseCrashingSegmentUnderRandomFaults(t *testing.T) {
 	t.Parallel()
-	runSeeds(t, runCrashSoak)
+	runSeeds(t, func(t *testing.T, seed uint64) {
+		runCrashSoak(t, seed, crashSoak{path: "/unsafe/x", shared: sharedSegments(1)})
+	})
+}
+
+// TestGatewaysRefuseLateCrashingSegmentUnderRandomFaults does the same with a segment that stands behind many that all prompts
+// share, and crashes endpoints after some events of a stream.
+func TestGatewaysRefuseLateCrashingSegmentUnderRandomFaults(t *testing.T) {
+	t.Parallel()
+	const manySegments, events = 40, 3
+	runSeeds(t, func(t *testing.T, seed uint64) {
+		runCrashSoak(t, seed, crashSoak{path: "/stream/x", shared: sharedSegments(manySegments), events: events})
+	})
 }
 
-func runCrashSoak(t *testing.T, seed uint64) {
+func runCrashSoak(t *testing.T, seed uint64, play crashSoak) {
 	f := newFleet(t, 3, 6)
 	for _, e := range f.endpoints {
 		e.mu.Lock()
-		e.crashingSegment = crashingSegment
+		e.crashingSegment, e.crashingEvents = crashingSegment, play.events
 		e.mu.Unlock()
 	}
 	end := time.Now().Add(crashSoakDuration)
@@ -55,11 +77,11 @@
 		random := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		group.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				prompt := fmt.Sprintf("a1:10,%x:10", n*gatewayCallerCount+i)
+				prompt := fmt.Sprintf("%s,%x:10", play.shared, n*gatewayCallerCount+i)
 				if i == 0 {
-					prompt = fmt.Sprintf("a1:10,%s:10,%x:10", crashingSegment, n)
+					prompt = fmt.Sprintf("%s,%s:10,%x:10", play.shared, crashingSegment, n)
 				}
-				f.sendPrompt(pickRandom(f.gateways, random), fmt.Sprintf("%d-%d-%d", seed, i, n), prompt)
+				f.sendPrompt(pickRandom(f.gateways, random), play.path, fmt.Sprintf("%d-%d-%d", seed, i, n), prompt)
 				time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
 			}
 		})
@@ -68,16 +90,25 @@
 	f.checkCrashingRuns()
 	f.checkGatewaysServe()
 	for i, g := range f.gateways {
-		status := f.sendPrompt(g, fmt.Sprint("harmless-", i), fmt.Sprintf("a1:10,%x:10", i))
+		status := f.sendPrompt(g, play.path, fmt.Sprint("harmless-", i), fmt.Sprintf("%s,%x:10", play.shared, i))
 		assert.Check(t, status == http.StatusOK, "%s answers %d to a harmless request", g.name, status)
 	}
 }
 
+// sharedSegments returns a number of segments that prompts share.
+func sharedSegments(count int) string {
+	segments := make([]string, count)
+	for i := range segments {
+		segments[i] = fmt.Sprintf("a%x:10", i)
+	}
+	return strings.Join(segments, ",")
+}
+
 // sendPrompt sends a request with a prompt and returns the status, 0 without an answer.
-func (f *fleet) sendPrompt(g *gatewayNode, id, prompt string) int {
+func (f *fleet) sendPrompt(g *gatewayNode, path, id, prompt string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), gatewayCallTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.url("/unsafe/x"), strings.NewReader(prompt))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.url(path), strings.NewReader(prompt))
 	assert.Check(f.t, err)
 	acaciaplatformstandin.SetCallerHeaders(request, id)
 	request.Header.Set(acaciaplatformstandin.HeaderPrompt, prompt)
@@ -85,7 +116,8 @@
 	if err != nil {
 		return 0
 	}
-	_ = response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
 	return response.StatusCode
 }
 
