Tell other gateways less of a crash

Cause: each gateway that starts is told all records by all others, and there were many more: of all requests that ran at a crash, not only of those without two events, up to 128 crashes. Changes that don't matter any more were told as well, with one record for each request.

This keeps the verdicts: a trait that is left out could not be suspect, and what speaks against single contents reaches a new gateway as it is repeated.

--- a/acaciacrash/crash.go
+++ b/acaciacrash/crash.go
@@ -88,11 +88,7 @@
 		known.stage = max(known.stage, record.Stage)
 		return changed
 	}
-	request := crashedRequest{stage: record.Stage}
-	for _, told := range record.Traits {
-		request.traits = append(request.traits, told.Trait)
-	}
-	c.requests = append(c.requests, request)
+	c.requests = append(c.requests, crashedRequest{stage: record.Stage, traits: record.traits()})
 	return true
 }
 
@@ -119,27 +115,49 @@
 	return record
 }
 
-// update changes the records of traits, and returns the keys of the requests that have one that has changed.
-func (c *endpointCrash) update(traits []Trait, change func(*TraitRecord)) []recordKey {
+// recordAnswer records that answers to requests with the traits have reached a stage since, where that takes back what the
+// crash says. It returns the keys of records that tell of all changes.
+func (c *endpointCrash) recordAnswer(reached Stage, traits []Trait) []recordKey {
+	return c.update(traits, func(t *crashTrait) bool {
+		clears := t.isEarly() && reached > StageBegun || t.isLate() && reached > t.stage
+		if clears {
+			t.Since = max(t.Since, reached)
+		}
+		return clears
+	})
+}
+
+// recordEarlier records that answers to requests with the traits had come further before, where that makes them less
+// suspect. It returns the keys of records that tell of all changes.
+func (c *endpointCrash) recordEarlier(traits []Trait, reached func(Trait) Stage) []recordKey {
+	return c.update(traits, func(t *crashTrait) bool {
+		before := reached(t.Trait)
+		weakens := t.speaksAgainst() && t.Before <= t.stage && before > t.stage
+		if weakens {
+			t.Before = before
+		}
+		return weakens
+	})
+}
+
+// update changes what is known of traits. It returns the keys of records that tell of all that change reports to have changed.
+func (c *endpointCrash) update(traits []Trait, change func(*crashTrait) bool) []recordKey {
 	changed := map[Trait]bool{}
 	for _, trait := range traits {
-		known := c.traits[trait]
-		if known == nil {
-			continue
-		}
-		before := known.TraitRecord
-		change(&known.TraitRecord)
-		if known.TraitRecord != before {
+		if known := c.traits[trait]; known != nil && change(known) {
 			changed[trait] = true
 		}
 	}
-	if len(changed) == 0 {
-		return nil
-	}
 	var keys []recordKey
 	for _, request := range c.requests {
+		if len(changed) == 0 {
+			break
+		}
 		if slices.ContainsFunc(request.traits, func(trait Trait) bool { return changed[trait] }) {
 			keys = append(keys, recordKey{c.id, request.content()})
+			for _, trait := range request.traits {
+				delete(changed, trait)
+			}
 		}
 	}
 	return keys
@@ -154,6 +172,19 @@
 	return keys
 }
 
+// suspectKeys returns the keys of the requests with a segment that the crash speaks against, and of those without segments.
+func (c *endpointCrash) suspectKeys() []recordKey {
+	var keys []recordKey
+	for _, request := range c.requests {
+		segments := request.traits[:len(request.traits)-1]
+		suspect := slices.ContainsFunc(segments, func(trait Trait) bool { return c.traits[trait].speaksAgainst() })
+		if suspect || len(segments) == 0 {
+			keys = append(keys, recordKey{c.id, request.content()})
+		}
+	}
+	return keys
+}
+
 // size returns the number of traits that the crash holds, those that several requests share once for each.
 func (c *endpointCrash) size() int {
 	size := 0
--- a/acaciacrash/outbox.go
+++ b/acaciacrash/outbox.go
@@ -18,7 +18,7 @@
 	// repeatInterval is the time between two messages that repeat records, because messages
 	// may be lost; repeatedTraits is how many traits they repeat at least, in turn.
 	repeatInterval = time.Second
-	repeatedTraits = 64
+	repeatedTraits = 12
 	// messageTraits is the number of traits after which no further record is added to a message. The
 	// records of one with so many still fit into a datagram.
 	messageTraits = 512
@@ -34,10 +34,10 @@
 	return outbox
 }
 
-// SendAll makes the next messages hold the whole table, because a process has joined that knows
-// nothing of it.
+// SendAll makes the next messages hold all that a process needs that has joined and knows nothing of the table. The
+// rest, what speaks against single contents, is told as it is repeated.
 func (o *Outbox) SendAll() {
-	for _, key := range o.table.keys() {
+	for _, key := range o.table.suspectKeys() {
 		o.add(key)
 	}
 }
--- a/acaciacrash/record.go
+++ b/acaciacrash/record.go
@@ -19,7 +19,8 @@
 		ObservedAt time.Time
 		// Stage is the one that the answer had reached.
 		Stage Stage
-		// Traits tells of all traits of the request, each once. The last one is its content.
+		// Traits tells of all traits of the request, each once, but for those that the crash can't speak against. The last one
+		// is its content.
 		Traits []TraitRecord
 	}
 
@@ -47,6 +48,15 @@
 	return r.Traits[len(r.Traits)-1].Trait
 }
 
+// traits returns the traits of the request.
+func (r *Record) traits() []Trait {
+	traits := make([]Trait, len(r.Traits))
+	for i, told := range r.Traits {
+		traits[i] = told.Trait
+	}
+	return traits
+}
+
 // merge adds what another record of the same crash and trait says.
 func (r *TraitRecord) merge(other TraitRecord) {
 	r.Attempt = max(r.Attempt, other.Attempt)
--- a/acaciacrash/table.go
+++ b/acaciacrash/table.go
@@ -36,7 +36,7 @@
 	// crashLifetime is how long crashes are kept, maxCrashes how many, and maxTraitRecords how many traits they may hold:
 	// the oldest crashes are dropped, each whole, because a part of its traits would be suspect in place of all.
 	crashLifetime   = 2 * maxBan
-	maxCrashes      = 128
+	maxCrashes      = 32
 	maxTraitRecords = 1 << 16
 )
 
@@ -73,7 +73,17 @@
 	}
 	record := Record{Crash: crash, ObservedAt: now, Stage: stage}
 	for i, trait := range traits {
-		record.Traits = append(record.Traits, TraitRecord{Trait: trait, Attempt: attempts[i], Before: t.answered.reached(trait)})
+		before := t.answered.reached(trait)
+		isContent := i == len(traits)-1
+		if stage > StageBegun && before > stage && !isContent {
+			// The crash doesn't speak against it, and needn't be told.
+			continue
+		}
+		record.Traits = append(record.Traits, TraitRecord{Trait: trait, Attempt: attempts[i], Before: before})
+	}
+	if len(traits) > 1 && len(record.Traits) == 1 {
+		// No segment is suspect.
+		return
 	}
 	if t.add(record) {
 		t.tell(recordKey{crash, record.content()})
@@ -91,7 +101,7 @@
 		return
 	}
 	for _, c := range t.crashes {
-		t.tell(c.update(traits, func(record *TraitRecord) { record.Since = max(record.Since, reached) })...)
+		t.tell(c.recordAnswer(reached, traits)...)
 	}
 	t.decide(now)
 }
@@ -105,7 +115,7 @@
 			continue
 		}
 		changed = t.add(record) || changed
-		answered := t.crashes[record.Crash].update(t.answeredOf(record), func(told *TraitRecord) { told.Before = t.answered.reached(told.Trait) })
+		answered := t.crashes[record.Crash].recordEarlier(record.traits(), t.answered.reached)
 		changed = changed || len(answered) > 0
 		t.tell(answered...)
 	}
@@ -115,17 +125,6 @@
 	return changed
 }
 
-// answeredOf returns the traits of a record of which this process knows, unlike the sender, that answers had come further.
-func (t *Table) answeredOf(record Record) []Trait {
-	var traits []Trait
-	for _, told := range record.Traits {
-		if t.answered.reached(told.Trait) > told.Before {
-			traits = append(traits, told.Trait)
-		}
-	}
-	return traits
-}
-
 // Refusal returns the ban for which a request with the traits is refused now; nil if it may
 // run. Of requests with a trait whose ban has ended, one may run in each trialInterval; a nil
 // result counts as that one.
@@ -264,6 +263,16 @@
 	return keys
 }
 
+// suspectKeys returns the keys of the records that speak against a segment, or of requests without segments, by the time of
+// the crash.
+func (t *Table) suspectKeys() []recordKey {
+	var keys []recordKey
+	for _, c := range t.sorted() {
+		keys = append(keys, c.suspectKeys()...)
+	}
+	return keys
+}
+
 // record returns a record, nil if it has been dropped.
 func (t *Table) record(key recordKey) *Record {
 	c := t.crashes[key.crash]
