--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -47,11 +47,14 @@
 	httpRequest.Header.Set("Attempt-Id", attempt)
 	httpRequest.Header.Set("Deadline-Ms", fmt.Sprint(clientDeadline.Milliseconds()))
 	httpRequest.Header.Set("Authorization", "Bearer key-1")
-	if r.prompt != "" {
+	if r.tokens != "" {
 		httpRequest.Header.Set("Model", "m")
-		httpRequest.Header.Set("Prompt-Prefix", r.prompt)
 		httpRequest.Header.Set("Token-Count", r.tokens)
 	}
+	if r.prompt != "" {
+		httpRequest.Header.Set("Prompt-Prefix", r.prompt)
+	}
+	f.recordSent(attempt)
 	f.record.printf("client sends %s %s to %s as %s", r.method, r.path, g.name, attempt)
 	a := answer{}
 	response, err := transport.RoundTrip(httpRequest)
@@ -69,3 +72,17 @@
 func sortArrivals(arrivals []arrival) {
 	slices.SortFunc(arrivals, func(a, b arrival) int { return a.at.Compare(b.at) })
 }
+
+func (f *fleet) recordSent(attempt string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[attempt] = time.Now()
+}
+
+// sentAt returns when an attempt was sent.
+func (f *fleet) sentAt(attempt string) (at time.Time, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, known = f.sent[attempt]
+	return at, known
+}
--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -24,6 +24,7 @@
 		mu       sync.Mutex
 		replicas []*replica
 		crashes  []time.Time
+		sent     map[string]time.Time
 		closed   bool
 	}
 
@@ -136,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: record, dir: dir}
+	f := &fleet{record: record, dir: dir, sent: map[string]time.Time{}}
 	if f.store, err = newStore(); err != nil {
 		return nil, err
 	}
--- a/review/standins-3/replica.go
+++ b/review/standins-3/replica.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -21,16 +22,17 @@
 		// poison is what the path of a request contains that crashes the replica, after poisonEvents events.
 		poison       string
 		poisonEvents int
-
-		mu       sync.Mutex
-		starts   int
-		id       string
-		born     int64
-		server   *http.Server
-		conns    map[net.Conn]bool
-		running  bool
-		stopped  chan struct{}
-		arrivals []arrival
+		mu           sync.Mutex
+		starts       int
+		id           string
+		born         int64
+		server       *http.Server
+		conns        map[net.Conn]bool
+		running      bool
+		stopped      chan struct{}
+		arrivals     []arrival
+		// shed is the share of its requests that it rejects.
+		shed float64
 	}
 
 	// arrival is a request that reached a replica.
@@ -203,7 +205,15 @@
 	attempt := request.Header.Get("Attempt-Id")
 	r.mu.Lock()
 	r.arrivals = append(r.arrivals, arrival{time.Now(), attempt, request.URL.Path, id})
+	rejected := rand.Float64() < r.shed
 	r.mu.Unlock()
+	if rejected {
+		r.fleet.record.printf("replica %s rejects %s %s (%s)", id, request.Method, request.URL.Path, attempt)
+		w.Header().Set("Attempt-Id", attempt)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	r.fleet.record.printf("replica %s runs %s %s (%s)", id, request.Method, request.URL.Path, attempt)
 	w.Header().Set("Attempt-Id", attempt)
 	w.Header().Set("Response-Seal", fmt.Sprintf("seal-%s-%d", attempt, len(body)))
